Serve requests on the users' platform through one thin path

Cause: the product spoke only its own interface; the platform's callers, endpoints and store speak another. Change: platform/ decodes the settings, the store's items, callers' requests and endpoints' answers into the project's types; facts follow the store; exchanges are passed through byte for byte; one host a stage service gathers the pieces of all hosts into full calls. httpcall reads bodies itself, since fasthttp's stream takes a connection that ends between two chunks for the end of the body.

--- /dev/null
+++ b/internal/adapter/httpcall/body.go
@@ -0,0 +1,109 @@
+package httpcall
+
+import (
+	"bufio"
+	"io"
+	"net/http/httputil"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// lengthChunked and lengthUntilClose are fasthttp's marks for a body in
+	// chunks and for one that ends with its connection.
+	lengthChunked    = -1
+	lengthUntilClose = -2
+	// maxInterim bounds the interim responses (1xx) before the final one.
+	maxInterim = 4
+	// maxTrailerBytes bounds what follows the last chunk.
+	maxTrailerBytes = 4 << 10
+)
+
+// readHeader reads the header of the final response.
+func readHeader(r *bufio.Reader, resp *fasthttp.Response) error {
+	for range maxInterim {
+		resp.Header.SetNoDefaultContentType(true)
+		if err := resp.Header.Read(r); err != nil {
+			return err
+		}
+		if status := resp.StatusCode(); status < 100 || status > 199 {
+			return nil
+		}
+		resp.Header.Reset()
+	}
+	return errors.New("too many interim responses")
+}
+
+// attachBody gives resp a body stream that ends with io.EOF only after the
+// whole body. fasthttp's own stream takes a connection that ends between two
+// chunks for the end of the body.
+func attachBody(r *bufio.Reader, resp *fasthttp.Response, none bool) {
+	status := resp.StatusCode()
+	if none || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return
+	}
+	switch length := resp.Header.ContentLength(); length {
+	case lengthChunked:
+		resp.SetBodyStream(&chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}, -1)
+	case lengthUntilClose:
+		resp.SetBodyStream(r, -1)
+		resp.SetConnectionClose()
+	default:
+		resp.SetBodyStream(&sizedBody{r: r, left: length}, length)
+	}
+}
+
+// sizedBody reads a body of a known length.
+type sizedBody struct {
+	r    *bufio.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (b *sizedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.r.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	if err == io.EOF && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody reads a body in chunks with its trailer.
+type chunkedBody struct {
+	r      *bufio.Reader
+	chunks io.Reader
+	err    error
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.chunks.Read(p)
+	if err == io.EOF {
+		err = b.skipTrailer()
+	}
+	b.err = err
+	return n, err
+}
+
+// skipTrailer reads to the empty line after the last chunk.
+func (b *chunkedBody) skipTrailer() error {
+	for left := maxTrailerBytes; left > 0; {
+		line, err := b.r.ReadSlice('\n')
+		if err != nil {
+			return io.ErrUnexpectedEOF
+		}
+		if len(line) <= 2 {
+			return io.EOF
+		}
+		left -= len(line)
+	}
+	return errors.New("trailer too large")
+}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -34,6 +34,9 @@
 // ErrTooLarge means that an answer went past its size limit.
 var ErrTooLarge = errors.New("answer too large")
 
+// ErrOutOfStep means that the connection carried only answers of other calls.
+var ErrOutOfStep = errors.New("answers of other calls on the connection")
+
 // Config bounds a Pool. Zero values take the defaults.
 type Config struct {
 	MaxIdle     int
@@ -87,6 +90,27 @@
 // connection. Do returns the number of bytes sent: at 0 the server has got
 // nothing of the request.
 func (p *Pool) Do(ctx context.Context, addr string, req *fasthttp.Request, fresh bool, read func(*fasthttp.Response) error) (int, error) {
+	return p.Exchange(ctx, addr, fresh, Call{
+		Write: func(w *bufio.Writer) error { return req.Write(w) },
+		Read:  read,
+	})
+}
+
+// Call is one request with its response.
+type Call struct {
+	// Write writes the request.
+	Write func(w *bufio.Writer) error
+	// Expected reports whether a response is this call's; others are read to
+	// their end and dropped. nil takes the first one.
+	Expected func(*fasthttp.Response) bool
+	// NoBody says that the response has no body whatever its header says.
+	NoBody bool
+	// Read takes the response with its body unread.
+	Read func(*fasthttp.Response) error
+}
+
+// Exchange is Do for a request that the caller writes itself.
+func (p *Pool) Exchange(ctx context.Context, addr string, fresh bool, call Call) (int, error) {
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
@@ -97,7 +121,7 @@
 	c.sent = 0
 	c.sendBy, _ = ctx.Deadline()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	reusable, err := roundTrip(c, req, read)
+	reusable, err := roundTrip(c, call)
 	sent := c.sent
 	if !stop() || !reusable {
 		c.Close()
@@ -107,10 +131,13 @@
 	return sent, err
 }
 
+// maxDropped bounds the responses of earlier calls that one call drops.
+const maxDropped = 4
+
 // roundTrip returns whether the connection can be used again.
-func roundTrip(c *conn, req *fasthttp.Request, read func(*fasthttp.Response) error) (bool, error) {
+func roundTrip(c *conn, call Call) (bool, error) {
 	w := bufio.NewWriter(c)
-	if err := req.Write(w); err != nil {
+	if err := call.Write(w); err != nil {
 		return false, err
 	}
 	if err := w.Flush(); err != nil {
@@ -118,17 +145,40 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody = true
-	if err := resp.ReadLimitBody(c.reader, 0); err != nil {
-		return false, err
+	for range maxDropped {
+		resp.Reset()
+		if err := readHeader(c.reader, resp); err != nil {
+			return false, err
+		}
+		attachBody(c.reader, resp, call.NoBody)
+		if call.Expected == nil || call.Expected(resp) {
+			return take(c, resp, call)
+		}
+		if !discard(resp) {
+			return false, ErrOutOfStep
+		}
 	}
-	if err := read(resp); err != nil {
+	return false, ErrOutOfStep
+}
+
+// discard reads a response to its end. It reports false if it breaks off.
+func discard(resp *fasthttp.Response) bool {
+	if resp.BodyStream() == nil {
+		return !resp.ConnectionClose()
+	}
+	_, err := io.Copy(io.Discard, resp.BodyStream())
+	return err == nil && !resp.ConnectionClose()
+}
+
+// take hands the response over and reports whether the connection can be used again.
+func take(c *conn, resp *fasthttp.Response, call Call) (bool, error) {
+	if err := call.Read(resp); err != nil {
 		return false, err
 	}
-	if resp.ConnectionClose() {
+	if resp.ConnectionClose() || !drained(resp.BodyStream()) {
 		return false, nil
 	}
-	return drained(resp.BodyStream()), nil
+	return c.reader.Buffered() == 0, nil
 }
 
 // drained reports whether the body has been read to its end.
--- a/internal/adapter/peer/link.go
+++ b/internal/adapter/peer/link.go
@@ -32,7 +32,7 @@
 	// maxAskTimeout bounds a request without a deadline.
 	maxAskTimeout = 30 * time.Second
 	// maxRequestsPerConn bounds the requests handled at a time per connection.
-	maxRequestsPerConn = 64
+	maxRequestsPerConn = 512
 	// bufferBytes is the size of a connection's read and write buffers.
 	bufferBytes = 2 << 10
 	// path and subprotocol name the protocol in the upgrade request.
--- /dev/null
+++ b/internal/core/gather/endpoint.go
@@ -0,0 +1,175 @@
+package gather
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+// endpoint is one endpoint of the service, with its room.
+type endpoint struct {
+	*catalog.Endpoint
+	limits *catalog.StageLimits
+	usable bool
+	calls  int
+	// reserved is the room of the results that calls under way will make.
+	reserved int64
+	// held is the room of the results that lie there.
+	held      map[string]holding
+	heldBytes int64
+	downUntil time.Time
+	// ratio is how long calls took lately against what they should.
+	ratio float64
+}
+
+// holding is the room that one result, or a lost one, takes.
+type holding struct {
+	bytes int64
+	until time.Time
+}
+
+// SetEndpoints takes in the endpoints that may be called. Those that are not
+// among them get no new calls; their results are still accounted for.
+func (q *Queue) SetEndpoints(list []*catalog.Endpoint) {
+	for _, e := range q.endpoints {
+		e.usable = false
+	}
+	for _, e := range list {
+		known := q.endpoints[e.Lifetime()]
+		if known == nil {
+			known = &endpoint{held: make(map[string]holding)}
+			q.endpoints[e.Lifetime()] = known
+		}
+		known.Endpoint, known.limits, known.usable = e, q.service.Stages, true
+	}
+	for l, e := range q.endpoints {
+		if !e.usable && e.calls == 0 && len(e.held) == 0 {
+			delete(q.endpoints, l)
+		}
+	}
+}
+
+// free returns the endpoints that may be called now, in a fixed order.
+func (q *Queue) free(now time.Time) []*endpoint {
+	var free []*endpoint
+	for _, e := range q.endpoints {
+		e.lapse(now)
+		if e.usable && e.calls < e.limits.Concurrent && !now.Before(e.downUntil) {
+			free = append(free, e)
+		}
+	}
+	slices.SortFunc(free, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return free
+}
+
+// lapse gives up the results whose life is over.
+func (e *endpoint) lapse(now time.Time) {
+	for handle, h := range e.held {
+		if !now.Before(h.until) {
+			e.release(handle)
+		}
+	}
+}
+
+func (e *endpoint) release(handle string) bool {
+	h, ok := e.held[handle]
+	if ok {
+		e.heldBytes -= h.bytes
+		delete(e.held, handle)
+	}
+	return ok
+}
+
+func (e *endpoint) room() int64 { return e.limits.RoomBytes - e.heldBytes - e.reserved }
+
+// fits reports whether all pieces of the job that are to be made have room, so
+// that no half of a job waits for the other while it holds room. A job larger
+// than the whole room takes what there is.
+func (e *endpoint) fits(p *pending, limits *catalog.StageLimits) bool {
+	need := int64(min(len(p.todo), limits.Batch)) * p.ResultBytes
+	if need > limits.RoomBytes {
+		return e.room() >= max(p.ResultBytes, limits.RoomBytes/2)
+	}
+	return e.room() >= need
+}
+
+// settle takes in what a call's end says of its endpoint.
+func (q *Queue) settle(now time.Time, e *endpoint, c *Call, results []port.PieceResult, err error, notRun bool) {
+	e.calls--
+	for _, r := range c.refs {
+		e.reserved -= r.job.ResultBytes
+	}
+	until := now.Add(q.service.Stages.ResultLife)
+	if err != nil {
+		e.downUntil = now.Add(downTime)
+		if !notRun {
+			// The results may have been made; nobody knows their handles.
+			for i, r := range c.refs {
+				e.hold("lost/"+r.job.ID+"/"+c.started.String()+"/"+strconv.Itoa(i), r.job.ResultBytes, until)
+			}
+			e.observe(now.Sub(c.started), c.expected)
+		}
+		return
+	}
+	e.observe(now.Sub(c.started), c.expected)
+	noRoom := false
+	for i, r := range c.refs {
+		if h := results[i].Handle; h != "" {
+			e.hold(h, r.job.ResultBytes, until)
+		}
+		noRoom = noRoom || results[i].Failure == port.PieceNoRoom
+	}
+	if noRoom {
+		// Another host's results are there, or some whose freeing was lost.
+		e.hold("unknown/"+c.started.String(), max(0, e.room()), now.Add(unknownHold))
+	}
+}
+
+// unknownHold is how long an endpoint that had less room than was known counts
+// as full: a few calls.
+const unknownHold = 600 * time.Millisecond
+
+func (e *endpoint) hold(handle string, bytes int64, until time.Time) {
+	e.release(handle)
+	e.held[handle] = holding{bytes, until}
+	e.heldBytes += bytes
+}
+
+func (e *endpoint) observe(took, expected time.Duration) {
+	ratio := float64(took) / float64(max(1, expected))
+	if e.ratio == 0 {
+		e.ratio = ratio
+		return
+	}
+	e.ratio += slowWeight * (ratio - e.ratio)
+}
+
+// Free gives up results and returns their handles by endpoint, those of
+// endpoints that are not known left out.
+func (q *Queue) Free(handles []string) map[*catalog.Endpoint][]string {
+	out := make(map[*catalog.Endpoint][]string)
+	for _, h := range handles {
+		for _, e := range q.endpoints {
+			if e.release(h) {
+				out[e.Endpoint] = append(out[e.Endpoint], h)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Usable returns the number of endpoints that may be called.
+func (q *Queue) Usable() int {
+	n := 0
+	for _, e := range q.endpoints {
+		if e.usable {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/node.go
@@ -0,0 +1,220 @@
+// Package entry puts a host on a platform together: facts from its store,
+// peers, stages and exchanges behind the callers' connections, and ends them
+// in order.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/pimentorill/pimentorill/internal/adapter/metrics"
+	"github.com/pimentorill/pimentorill/internal/core/balance"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/quota"
+	"github.com/pimentorill/pimentorill/internal/exchange"
+	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/peering"
+	"github.com/pimentorill/pimentorill/internal/port"
+	"github.com/pimentorill/pimentorill/internal/stagework"
+)
+
+const (
+	// spareHosts is added to the hosts known when limits over all hosts are
+	// divided: hosts that are replaced or not heard of yet.
+	spareHosts = 2
+	// unknownHosts stands for the number of hosts until some are known.
+	unknownHosts = 12
+	// stillTaken is how long after the signal to end callers may still be sent
+	// here: two missed questions for readiness and what a caller needs to connect.
+	stillTaken = 2500 * time.Millisecond
+	// endMargin is kept free of the grace for the end itself.
+	endMargin = 500 * time.Millisecond
+	// endPoll is how often a host that ends looks for requests under way.
+	endPoll = 20 * time.Millisecond
+)
+
+// Front takes the callers' connections.
+type Front interface {
+	// CloseAfterAnswer makes each answer the last of its connection.
+	CloseAfterAnswer()
+	// CloseIdle closes connections without a request and takes no new ones.
+	CloseIdle()
+	// Busy returns the number of requests under way.
+	Busy() int
+	Close()
+}
+
+// Platform is how a host reaches its surroundings.
+type Platform struct {
+	Feed      port.Feed
+	Decoder   port.FactDecoder
+	Prefixes  facts.Prefixes
+	Endpoints port.Endpoints
+	// Listen opens the callers' address.
+	Listen func(s *exchange.Server) (Front, error)
+	// ServeReady answers the question for readiness; the function returned ends it.
+	ServeReady func(ready func() bool) (func(), error)
+}
+
+// Node is one running host.
+type Node struct {
+	settings Settings
+	log      *slog.Logger
+	facts    *facts.Facts
+	table    *balance.Table
+	retries  *quota.Retries
+	desk     *stagework.Desk
+	server   *exchange.Server
+	front    Front
+	metrics  *metrics.Metrics
+	endReady func()
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+
+	mu       sync.Mutex
+	stopping bool
+	maxHosts int
+}
+
+// Start serves on the settings' addresses. Stop ends it.
+func Start(s Settings, p Platform, log *slog.Logger) (*Node, error) {
+	clock := port.SystemClock{}
+	n := &Node{settings: s, log: log, metrics: metrics.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.table = balance.New(s.Zone, clock, newRand(), balance.Limits{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack})
+	n.retries = quota.NewRetries(quota.Rule{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
+	n.setHosts(unknownHosts)
+	self := facts.Host{ID: s.Host, Zone: s.Zone, Address: s.Peers, Started: time.Now().UnixMilli()}
+	group, err := peering.Listen(peering.Config{Self: self, Prefix: p.Prefixes.Hosts, Feed: p.Feed, Clock: clock, Log: log,
+		MinLease: s.MinLease, Hosts: func() map[string]facts.Host { return n.facts.Current().Hosts }})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	sharing := &factSharing{group: group}
+	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Prefixes: p.Prefixes, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
+	sharing.answer(n.facts)
+	n.desk = stagework.NewDesk(p.Endpoints, clock, log, n.stageService)
+	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
+		Stages: stagework.NewMaker(group, n.desk, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
+	if n.front, err = p.Listen(n.server); err != nil {
+		cancel()
+		return nil, err
+	}
+	if n.endReady, err = p.ServeReady(n.Ready); err != nil {
+		cancel()
+		n.front.Close()
+		return nil, err
+	}
+	n.task(ctx, n.facts.Run)
+	n.task(ctx, n.desk.Run)
+	n.task(ctx, group.Run)
+	n.serveMetrics(ctx)
+	log.Info("started", slog.String("host", s.Host), slog.String("zone", s.Zone), slog.String("callers", s.Callers))
+	return n, nil
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (n *Node) task(ctx context.Context, fn func(context.Context)) {
+	n.tasks.Go(func() { fn(ctx) })
+}
+
+// serveMetrics serves the metrics if the settings give an address.
+func (n *Node) serveMetrics(ctx context.Context) {
+	if n.settings.Metrics == "" {
+		return
+	}
+	l, err := net.Listen("tcp", n.settings.Metrics)
+	if err != nil {
+		n.log.Warn("metrics are not served", slog.Any("error", err))
+		return
+	}
+	server := &fasthttp.Server{Handler: n.metrics.Page, NoDefaultServerHeader: true}
+	context.AfterFunc(ctx, func() { l.Close() })
+	n.tasks.Go(func() {
+		if err := server.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+			n.log.Warn("metrics listener ended", slog.Any("error", err))
+		}
+	})
+}
+
+// stageService returns a stage service with the endpoints that may be called.
+func (n *Node) stageService(name string) (*catalog.Service, []*catalog.Endpoint) {
+	s := n.facts.Current()
+	if s.Config == nil {
+		return nil, nil
+	}
+	return s.Config.Services[name], s.Usable[name]
+}
+
+// Ready reports whether this host takes new callers.
+func (n *Node) Ready() bool {
+	s := n.facts.Current()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopping && s.Config != nil && len(s.Usable) > 0
+}
+
+// EndpointKnown implements facts.Observer.
+func (n *Node) EndpointKnown(e *catalog.Endpoint, service *catalog.Service, fresh bool) {
+	n.table.Known(e, service, fresh)
+}
+
+// EndpointCooled implements facts.Observer.
+func (n *Node) EndpointCooled(e *catalog.Endpoint, service *catalog.Service) {
+	n.table.Cooled(e, service)
+}
+
+// Published implements facts.Observer.
+func (n *Node) Published(s *facts.Snapshot) {
+	if len(s.Hosts) > 0 {
+		n.setHosts(len(s.Hosts) + spareHosts)
+	}
+	n.desk.Refresh()
+}
+
+// setHosts divides the limits over all hosts. The number never falls: a host
+// that is cut off does not know who has come.
+func (n *Node) setHosts(hosts int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := hosts != unknownHosts
+	if !known || n.maxHosts == unknownHosts || hosts > n.maxHosts {
+		n.maxHosts = hosts
+		n.table.SetHosts(hosts)
+		n.retries.SetHosts(hosts)
+	}
+}
+
+// Stop ends the host: not ready at once; callers that still come are served
+// until they should have gone; then what is under way is finished, up to the
+// grace.
+func (n *Node) Stop() {
+	began := time.Now()
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
+	n.log.Info("stopping", slog.Duration("grace", n.settings.Grace))
+	n.front.CloseAfterAnswer()
+	time.Sleep(min(stillTaken, n.settings.Grace/2))
+	n.server.RefuseNew()
+	n.front.CloseIdle()
+	end := began.Add(n.settings.Grace - endMargin)
+	for n.front.Busy() > 0 && time.Now().Before(end) {
+		time.Sleep(endPoll)
+	}
+	cut := n.front.Busy()
+	n.front.Close()
+	n.cancel()
+	n.tasks.Wait()
+	n.log.Info("ended", slog.Int("requests_cut", cut))
+}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -70,3 +70,6 @@
 	Address          string `json:"address"`
 	Leaving          bool   `json:"leaving"`
 }
+
+// ErrCompacted means that the history asked for is no longer there.
+var ErrCompacted = errors.New("store: history compacted")
