--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -48,7 +48,7 @@
 
 type queue struct {
 	*gather.Queue
-	byID    map[string]chan gather.Finished
+	byID map[string]chan gather.Finished
 }
 
 // NewDesk returns a desk without queues.
