Keep all stages of a request at one keeper, and in one zone

Change: the keeper takes a request's whole graph, chooses its zone by the work committed to each, and lets pieces wait for their zone while that keeps them in time.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -22,6 +22,8 @@
 	held      map[string]holding
 	heldBytes int64
 	downUntil time.Time
+	// busyUntil is when the newest call should end.
+	busyUntil time.Time
 	// ratio is how long calls took lately against what they should.
 	ratio float64
 }
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -30,27 +30,32 @@
 	// slowRatio is the part by which an endpoint's calls take longer than they
 	// should for it to be taken only when no other is free.
 	slowRatio = 2.0
+	// roomWait is how long it mostly takes until results make room: the next
+	// stage's call.
+	roomWait = 300 * time.Millisecond
 	// slowWeight is the weight of the newest call in that ratio.
 	slowWeight = 0.5
 )
 
 // Job is all pieces of one stage of one request.
 type Job struct {
-	ID      string   `cbor:"1,keyasint"`
-	Request string   `cbor:"2,keyasint"`
-	Stage   int      `cbor:"3,keyasint"`
-	Pieces  int      `cbor:"4,keyasint"`
-	Key     string   `cbor:"5,keyasint,omitempty"`
-	Inputs  []string `cbor:"6,keyasint,omitempty"`
+	ID      string
+	Request string
+	Stage   int
+	Pieces  int
+	Key     string
+	Inputs  []string
 	// ResultBytes is the size of one piece's result.
-	ResultBytes int64 `cbor:"7,keyasint"`
+	ResultBytes int64
 	// Due is when the job should be done for the request to be in time, Last
 	// when it must be done for the request to be answered at all.
-	Due      time.Time `cbor:"-"`
-	Last     time.Time `cbor:"-"`
-	Priority int       `cbor:"10,keyasint"`
+	Due      time.Time
+	Last     time.Time
+	Priority int
 	// Zone is where the results are wanted; empty for anywhere.
-	Zone string `cbor:"11,keyasint,omitempty"`
+	Zone string
+	// Downstream is the time that the stages behind this one take.
+	Downstream time.Duration
 }
 
 // Finished is the end of a job.
@@ -121,22 +126,8 @@
 	return s.CallTime + time.Duration(n)*s.PieceTime
 }
 
-// Forecast returns how long a job that came now would take to its end.
-func (q *Queue) Forecast(pieces int) time.Duration {
-	limits := q.service.Stages
-	ahead := pieces
-	for _, j := range q.jobs {
-		ahead += len(j.todo)
-	}
-	servers := 0
-	for _, e := range q.endpoints {
-		if e.usable {
-			servers++
-		}
-	}
-	perPiece := limits.CallTime/time.Duration(limits.Batch) + limits.PieceTime
-	return time.Duration(ahead)*perPiece/time.Duration(max(1, servers)) + WorkTime(limits, pieces)
-}
+// Limits returns the service's limits.
+func (q *Queue) Limits() *catalog.StageLimits { return q.service.Stages }
 
 // Add queues a job.
 func (q *Queue) Add(now time.Time, j Job) {
@@ -195,7 +186,7 @@
 	calls := make(map[*endpoint]*Call)
 	for _, p := range q.jobs {
 		for len(p.todo) > 0 {
-			e := q.place(free, calls, p)
+			e := q.place(now, free, calls, p)
 			if e == nil {
 				break
 			}
@@ -248,7 +239,7 @@
 // place returns the free endpoint that takes the job's next pieces: in its
 // zone if there is one, then one that is called already, then the one with
 // most room.
-func (q *Queue) place(free []*endpoint, calls map[*endpoint]*Call, p *pending) *endpoint {
+func (q *Queue) place(now time.Time, free []*endpoint, calls map[*endpoint]*Call, p *pending) *endpoint {
 	var best *endpoint
 	bestScore := 0.0
 	for _, e := range free {
@@ -256,7 +247,11 @@
 		if c := calls[e]; c != nil {
 			n = len(c.Pieces)
 		}
-		if n >= q.service.Stages.Batch || !e.fits(p, q.service.Stages) {
+		batch := q.service.Stages.Batch
+		if n >= batch || n > 0 && batch-n < len(p.todo) || !e.fits(p, q.service.Stages) {
+			continue
+		}
+		if p.Zone != "" && e.Zone != p.Zone && q.worthWaiting(now, p) {
 			continue
 		}
 		score := float64(e.room()) / float64(max(1, q.service.Stages.RoomBytes))
@@ -276,6 +271,33 @@
 	return best
 }
 
+// worthWaiting reports whether an endpoint of the job's zone should come free
+// soon enough for the job to be in time: results that cross zones cost more
+// than a wait.
+func (q *Queue) worthWaiting(now time.Time, p *pending) bool {
+	soonest := time.Duration(-1)
+	for _, e := range q.endpoints {
+		if !e.usable || e.Zone != p.Zone || now.Before(e.downUntil) || e.ratio > slowRatio {
+			continue
+		}
+		wait := max(0, e.busyUntil.Sub(now))
+		if !e.fits(p, q.service.Stages) {
+			wait = max(wait, roomWait)
+		}
+		if soonest < 0 || wait < soonest {
+			soonest = wait
+		}
+	}
+	if soonest < 0 {
+		return false
+	}
+	limit := p.Due
+	if p.late {
+		limit = p.Last
+	}
+	return now.Add(soonest + WorkTime(q.service.Stages, len(p.todo))).Before(limit)
+}
+
 // fill puts as many of the job's pieces as fit into the endpoint's call.
 func (q *Queue) fill(now time.Time, e *endpoint, calls map[*endpoint]*Call, p *pending) {
 	c := calls[e]
@@ -308,6 +330,7 @@
 	c.expected = WorkTime(limits, len(c.Pieces))
 	c.Timeout = time.Duration(callOverrun*max(1, e.ratio)*float64(c.expected)) + callSlack
 	e.calls++
+	e.busyUntil = now.Add(time.Duration(max(1, e.ratio) * float64(c.expected)))
 }
 
 // Done takes in the end of a call. err says that the call failed as a whole;
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -102,7 +102,7 @@
 	sharing := &factSharing{group: group}
 	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Prefixes: p.Prefixes, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
 	sharing.answer(n.facts)
-	n.desk = stagework.NewDesk(p.Endpoints, clock, log, n.stageService)
+	n.desk = stagework.NewDesk(s.Host, p.Endpoints, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
 		Stages: stagework.NewMaker(group, n.desk, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -98,7 +98,7 @@
 	urgency  int
 	deadline time.Time
 
-	results  []stagework.Results
+	results  stagework.Results
 	inputs   []string
 	zone     string
 	tried    map[string]bool
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -1,7 +1,8 @@
-// Package stagework has the pieces of stages made. For each stage service one
-// host, its keeper, gathers the pieces of all hosts into calls; the others
-// hand it theirs. Hosts choose the keeper by rendezvous hashing among the
-// hosts that answer, and go to the next one at once when it stops answering.
+// Package stagework has the stages of requests made. One host, the keeper,
+// gathers the pieces of all hosts into calls, so that it alone knows which
+// endpoint is free and has room; the others hand it their plans. Hosts choose
+// the keeper by rendezvous hashing among the hosts that answer, and go to the
+// next one at once when it stops answering.
 package stagework
 
 import (
@@ -21,29 +22,24 @@
 	tick = 20 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
-	// forecastSlack is the part of the time left that a job's forecast may take.
-	forecastSlack = 1.0
+	// shortRetry is the least time after which a caller that was refused is
+	// asked to come back.
+	shortRetry = 300 * time.Millisecond
 )
 
-// Made is where a job's results lie.
-type Made struct {
-	Handles []string
-	// Zone is empty if they lie in several.
-	Zone string
-	Wait time.Duration
-}
-
 // Desk keeps the queues of the services that this host is the keeper of. It
 // is safe for concurrent use.
 type Desk struct {
+	self      string
 	endpoints port.Endpoints
 	clock     port.Clock
 	log       *slog.Logger
 	// catalogue returns a service and its endpoints.
 	catalogue func(service string) (*catalog.Service, []*catalog.Endpoint)
 
-	mu     sync.Mutex
-	queues map[string]*queue
+	mu        sync.Mutex
+	queues    map[string]*queue
+	committed commitments
 }
 
 type queue struct {
@@ -52,8 +48,8 @@
 }
 
 // NewDesk returns a desk without queues.
-func NewDesk(endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
-	return &Desk{endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue)}
+func NewDesk(self string, endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
+	return &Desk{self: self, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments)}
 }
 
 // Run looks for room until ctx ends.
@@ -76,42 +72,58 @@
 	}
 }
 
-// Make queues a job and waits for its end. The error is a *verdict.Error.
-func (d *Desk) Make(ctx context.Context, service string, j gather.Job) (Made, error) {
-	now := d.clock.Now()
+// make queues a job and waits for its end. The error is a *verdict.Error.
+func (d *Desk) make(ctx context.Context, service string, j gather.Job) (made, error) {
 	d.mu.Lock()
 	q, err := d.queue(service)
-	if err == nil {
-		err = refuse(q, j, now)
-	}
 	if err != nil {
 		d.mu.Unlock()
-		return Made{}, err
+		return made{}, err
 	}
 	done := make(chan gather.Finished, 1)
 	q.byID[j.ID] = done
-	q.Add(now, j)
+	q.Add(d.clock.Now(), j)
 	d.pump(q)
 	d.mu.Unlock()
 	select {
 	case f := <-done:
-		return d.result(service, f)
+		return d.result(f)
 	case <-ctx.Done():
-		d.cancel(service, j.ID)
-		return Made{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stage was cancelled")
+		d.cancel(q, j.ID)
+		return made{}, ctx.Err()
 	}
 }
 
-// refuse returns an error for a job that can't be done in time.
-func refuse(q *queue, j gather.Job, now time.Time) error {
-	if q.Usable() == 0 {
-		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint for the stage")
+// admit commits the endpoints to a plan, or refuses one that can't be done in
+// time, with the time after which its stages should have room again.
+func (d *Desk) admit(p *Plan) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ends := make([]time.Duration, len(p.Stages))
+	total := time.Duration(0)
+	for i, s := range p.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		q, err := d.queue(s.Service)
+		if err != nil {
+			return err
+		}
+		if q.Usable() == 0 {
+			return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint for the stage").WithRetryAfter(shortRetry)
+		}
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] = max(ends[i], d.backlog(s.Service, q.Queue)) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
+		total = max(total, ends[i])
 	}
-	forecast := q.Forecast(j.Pieces)
-	left := time.Duration(float64(j.Last.Sub(now)) * forecastSlack)
-	if forecast > left {
-		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stage can't be done in time").WithRetryAfter(forecast - left)
+	left := p.Last.Sub(d.clock.Now())
+	if total > left {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").WithRetryAfter(max(shortRetry, total-left))
 	}
+	p.Zone = d.zoneFor(p)
+	d.commit(p)
 	return nil
 }
 
@@ -141,11 +153,11 @@
 	}
 }
 
-func (d *Desk) result(service string, f gather.Finished) (Made, error) {
+func (d *Desk) result(f gather.Finished) (made, error) {
 	if f.Failure == port.PieceMade {
-		return Made{Handles: f.Handles, Zone: f.Zone, Wait: f.Wait}, nil
+		return made{f.Handles, f.Zone, f.Wait}, nil
 	}
-	d.Free(service, f.Handles)
+	d.Free(f.Handles)
 	code := verdict.CodeEndpointFailed
 	switch f.Failure {
 	case port.PieceLate:
@@ -153,20 +165,14 @@
 	case port.PieceNoInput:
 		code = verdict.CodeConflict
 	}
-	return Made{}, verdict.New(code, verdict.NotRun, "stage failed: "+string(f.Failure))
+	return made{}, verdict.New(code, verdict.NotRun, "stage failed: "+string(f.Failure))
 }
 
-func (d *Desk) cancel(service, id string) {
+func (d *Desk) cancel(q *queue, id string) {
 	d.mu.Lock()
-	q := d.queues[service]
-	if q == nil {
-		d.mu.Unlock()
-		return
-	}
+	defer d.mu.Unlock()
 	delete(q.byID, id)
-	handles := q.Cancel(id)
-	d.mu.Unlock()
-	d.Free(service, handles)
+	d.freeLocked(q.Cancel(id))
 }
 
 // pump makes the calls that can be made now. d.mu is held.
@@ -184,7 +190,7 @@
 		done := q.byID[f.Job.ID]
 		if done == nil {
 			if len(f.Handles) > 0 {
-				d.freeLocked(q, f.Handles)
+				d.freeLocked(f.Handles)
 			}
 			continue
 		}
@@ -208,30 +214,32 @@
 	d.pump(q)
 }
 
-// Free gives up results of a service.
-func (d *Desk) Free(service string, handles []string) {
+// Free gives up results that lie with endpoints of this desk's queues.
+func (d *Desk) Free(handles []string) {
 	if len(handles) == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if q := d.queues[service]; q != nil {
-		d.freeLocked(q, handles)
+	d.freeLocked(handles)
+}
+
+func (d *Desk) freeLocked(handles []string) {
+	for _, q := range d.queues {
+		for e, list := range q.Queue.Free(handles) {
+			go d.free(q, e, list)
+		}
 	}
 }
 
-func (d *Desk) freeLocked(q *queue, handles []string) {
-	for e, list := range q.Queue.Free(handles) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-			defer cancel()
-			if err := d.endpoints.FreeResults(ctx, e, list); err != nil {
-				d.log.Warn("results not freed", slog.String("endpoint", e.ID), slog.Int("results", len(list)), slog.Any("error", err))
-				return
-			}
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.pump(q)
-		}()
+func (d *Desk) free(q *queue, e *catalog.Endpoint, handles []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := d.endpoints.FreeResults(ctx, e, handles); err != nil {
+		d.log.Warn("results not freed", slog.String("endpoint", e.ID), slog.Int("results", len(handles)), slog.Any("error", err))
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pump(q)
 }
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/pimentorill/pimentorill/internal/core/gather"
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -15,15 +15,17 @@
 
 // Kinds of requests between hosts.
 const (
-	kindMake = "stage.make"
-	kindFree = "stage.free"
+	kindRun    = "stages.run"
+	kindCancel = "stages.cancel"
+	kindFree   = "stages.free"
 )
 
 const (
-	// maxKeepers bounds the hosts that a job is handed to, this one last.
+	// maxKeepers bounds the hosts that a plan is handed to, this one last.
 	maxKeepers = 3
-	// askFreeTimeout bounds the handing over of results to free.
-	askFreeTimeout = time.Second
+	// noticeTimeout bounds the word to a keeper that results or a plan are not
+	// wanted any more.
+	noticeTimeout = time.Second
 )
 
 // Peers reaches the other hosts.
@@ -35,133 +37,147 @@
 	Handle(kind string, fn port.RequestHandler)
 }
 
-// Maker has jobs done by the keeper of their service.
+// Maker has plans done by their keeper.
 type Maker struct {
 	peers Peers
 	desk  *Desk
 	clock port.Clock
 	log   *slog.Logger
+
+	mu sync.Mutex
+	// running holds the plans of other hosts.
+	running map[string]context.CancelFunc
 }
 
 // NewMaker returns a Maker and answers other hosts' requests at the desk.
 func NewMaker(peers Peers, desk *Desk, clock port.Clock, log *slog.Logger) *Maker {
-	m := &Maker{peers: peers, desk: desk, clock: clock, log: log}
-	peers.Handle(kindMake, m.handleMake)
+	m := &Maker{peers: peers, desk: desk, clock: clock, log: log, running: make(map[string]context.CancelFunc)}
+	peers.Handle(kindRun, m.handleRun)
+	peers.Handle(kindCancel, m.handleCancel)
 	peers.Handle(kindFree, m.handleFree)
 	return m
 }
 
-// makeRequest asks a keeper for a job. Times are spans: hosts' clocks differ.
-type makeRequest struct {
-	Service string        `cbor:"1,keyasint"`
-	Job     gather.Job    `cbor:"2,keyasint"`
-	DueIn   time.Duration `cbor:"3,keyasint"`
-	LastIn  time.Duration `cbor:"4,keyasint"`
+// runRequest asks a keeper for a plan. Times are spans: hosts' clocks differ.
+type runRequest struct {
+	Plan   Plan          `cbor:"1,keyasint"`
+	DueIn  time.Duration `cbor:"2,keyasint"`
+	LastIn time.Duration `cbor:"3,keyasint"`
 }
 
-type makeAnswer struct {
-	Handles    []string      `cbor:"1,keyasint,omitempty"`
-	Zone       string        `cbor:"2,keyasint,omitempty"`
-	Wait       time.Duration `cbor:"3,keyasint,omitempty"`
-	Code       verdict.Code  `cbor:"4,keyasint,omitempty"`
-	Message    string        `cbor:"5,keyasint,omitempty"`
-	RetryAfter time.Duration `cbor:"6,keyasint,omitempty"`
+type runAnswer struct {
+	Results    Results       `cbor:"1,keyasint"`
+	Code       verdict.Code  `cbor:"2,keyasint,omitempty"`
+	Message    string        `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 type freeRequest struct {
-	Service string   `cbor:"1,keyasint"`
-	Handles []string `cbor:"2,keyasint"`
-}
-
-// Results are a job's results and the host that accounts for them.
-type Results struct {
-	Made
-	Service string
-	Keeper  string
+	Handles []string `cbor:"1,keyasint"`
 }
 
-// Make has a job done. The error is a *verdict.Error with NotRun: pieces may
+// Make has a plan done. The error is a *verdict.Error with NotRun: pieces may
 // be made again.
-func (m *Maker) Make(ctx context.Context, service string, j gather.Job) (Results, error) {
+func (m *Maker) Make(ctx context.Context, p *Plan) (Results, error) {
 	tried := make(map[string]bool)
 	for range maxKeepers {
-		keeper := m.keeper(service, tried)
+		keeper := m.keeper(tried)
 		if keeper == m.peers.Self() {
 			break
 		}
 		tried[keeper] = true
-		made, err, answered := m.ask(ctx, keeper, service, j)
+		results, err, answered := m.ask(ctx, keeper, p)
 		if answered {
-			return Results{made, service, keeper}, err
+			return results, err
 		}
 		if ctx.Err() != nil {
-			return Results{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stage was cancelled")
+			return Results{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stages were cancelled")
 		}
-		m.log.Warn("keeper of the stage did not answer", slog.String("request", j.Request), slog.String("service", service),
-			slog.String("host", keeper), slog.Any("error", err))
+		m.log.Warn("keeper of the stages did not answer", slog.String("request", p.Request), slog.String("host", keeper), slog.Any("error", err))
 	}
-	made, err := m.desk.Make(ctx, service, j)
-	return Results{made, service, m.peers.Self()}, err
+	return m.desk.Do(ctx, p)
 }
 
-func (m *Maker) keeper(service string, tried map[string]bool) string {
+// keeper returns the host that gathers pieces. All hosts that know the same
+// hosts choose the same one.
+func (m *Maker) keeper(tried map[string]bool) string {
 	var ids []string
 	for _, id := range m.peers.Live() {
 		if !tried[id] {
 			ids = append(ids, id)
 		}
 	}
-	return membership.Rendezvous(ids, "stage/"+service, 1)[0]
+	return membership.Rendezvous(ids, "stages", 1)[0]
 }
 
-// ask hands the job to a keeper. answered says that the keeper settled it.
-func (m *Maker) ask(ctx context.Context, keeper, service string, j gather.Job) (Made, error, bool) {
+// ask hands the plan to a keeper. answered says that the keeper settled it.
+func (m *Maker) ask(ctx context.Context, keeper string, p *Plan) (results Results, err error, answered bool) {
 	now := m.clock.Now()
-	payload, err := cbor.Marshal(makeRequest{service, j, j.Due.Sub(now), j.Last.Sub(now)})
+	payload, err := cbor.Marshal(runRequest{*p, p.Due.Sub(now), p.Last.Sub(now)})
 	if err != nil {
-		return Made{}, verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode job"), true
+		return Results{}, verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode plan"), true
 	}
-	call, cancel := context.WithDeadline(ctx, j.Last)
+	call, cancel := context.WithDeadline(ctx, p.Last)
 	defer cancel()
-	raw, err := m.peers.Ask(call, keeper, kindMake, payload)
+	raw, err := m.peers.Ask(call, keeper, kindRun, payload)
 	if err != nil {
+		if call.Err() != nil {
+			m.tell(keeper, kindCancel, []byte(p.Request))
+		}
 		if ctx.Err() == nil && call.Err() != nil {
-			return Made{}, verdict.New(verdict.CodeDeadline, verdict.NotRun, "stage was not done in time"), true
+			return Results{}, verdict.New(verdict.CodeDeadline, verdict.NotRun, "stages were not done in time"), true
 		}
-		return Made{}, err, false
+		return Results{}, err, false
 	}
-	var a makeAnswer
+	var a runAnswer
 	if err := cbor.Unmarshal(raw, &a); err != nil {
-		return Made{}, err, false
+		return Results{}, err, false
 	}
 	if a.Code != "" {
-		return Made{}, verdict.New(a.Code, verdict.NotRun, a.Message).WithRetryAfter(a.RetryAfter), a.Code != verdict.CodeNotReady
+		return Results{}, verdict.New(a.Code, verdict.NotRun, a.Message).WithRetryAfter(a.RetryAfter), a.Code != verdict.CodeNotReady
 	}
-	return Made{a.Handles, a.Zone, a.Wait}, nil, true
+	return a.Results, nil, true
 }
 
-func (m *Maker) handleMake(ctx context.Context, _ port.Member, payload []byte) ([]byte, error) {
-	var r makeRequest
+func (m *Maker) handleRun(parent context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	var r runRequest
 	if err := cbor.Unmarshal(payload, &r); err != nil {
-		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "job can't be read")
+		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "plan can't be read")
 	}
 	now := m.clock.Now()
-	r.Job.Due, r.Job.Last = now.Add(r.DueIn), now.Add(r.LastIn)
-	made, err := m.desk.Make(ctx, r.Service, r.Job)
-	answer := makeAnswer{Handles: made.Handles, Zone: made.Zone, Wait: made.Wait}
+	r.Plan.Due, r.Plan.Last = now.Add(r.DueIn), now.Add(r.LastIn)
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	m.mu.Lock()
+	m.running[r.Plan.Request] = cancel
+	m.mu.Unlock()
+	results, err := m.desk.Do(ctx, &r.Plan)
+	m.mu.Lock()
+	delete(m.running, r.Plan.Request)
+	m.mu.Unlock()
+	answer := runAnswer{Results: results}
 	if err != nil {
 		e := verdict.From(err)
-		answer = makeAnswer{Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
+		answer = runAnswer{Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
 	}
 	return cbor.Marshal(answer)
 }
 
+func (m *Maker) handleCancel(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if cancel := m.running[string(payload)]; cancel != nil {
+		cancel()
+	}
+	return []byte{1}, nil
+}
+
 func (m *Maker) handleFree(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
 	var r freeRequest
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "results can't be read")
 	}
-	m.desk.Free(r.Service, r.Handles)
+	m.desk.Free(r.Handles)
 	return []byte{1}, nil
 }
 
@@ -171,18 +187,24 @@
 		return
 	}
 	if r.Keeper == m.peers.Self() {
-		m.desk.Free(r.Service, r.Handles)
+		m.desk.Free(r.Handles)
+		return
+	}
+	payload, err := cbor.Marshal(freeRequest{r.Handles})
+	if err != nil {
+		m.log.Error("results left to lapse", slog.Any("error", err))
 		return
 	}
+	m.tell(r.Keeper, kindFree, payload)
+}
+
+// tell sends a notice to a keeper without waiting for its answer.
+func (m *Maker) tell(keeper, kind string, payload []byte) {
 	go func() {
-		payload, err := cbor.Marshal(freeRequest{r.Service, r.Handles})
-		if err == nil {
-			ctx, cancel := context.WithTimeout(context.Background(), askFreeTimeout)
-			defer cancel()
-			_, err = m.peers.Ask(ctx, r.Keeper, kindFree, payload)
-		}
-		if err != nil {
-			m.log.Info("results left to lapse", slog.String("service", r.Service), slog.String("host", r.Keeper), slog.Any("error", err))
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+		defer cancel()
+		if _, err := m.peers.Ask(ctx, keeper, kind, payload); err != nil {
+			m.log.Info("notice to the keeper of the stages lost", slog.String("kind", kind), slog.String("host", keeper), slog.Any("error", err))
 		}
 	}()
 }
--- /dev/null
+++ b/internal/stagework/plan.go
@@ -0,0 +1,231 @@
+package stagework
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+)
+
+const (
+	// hopTime is what a stage takes beside its calls: the way there and the
+	// wait for an endpoint to come free.
+	hopTime = 40 * time.Millisecond
+	// maxPlanTries bounds how often a plan is begun anew because inputs were lost.
+	maxPlanTries = 2
+)
+
+// Stage is one stage of a plan.
+type Stage struct {
+	Service string `cbor:"1,keyasint"`
+	// After holds the indexes of the stages whose results it needs.
+	After  []int `cbor:"2,keyasint,omitempty"`
+	Pieces int   `cbor:"3,keyasint"`
+	// ResultBytes is the size of one piece's result.
+	ResultBytes int64 `cbor:"4,keyasint"`
+}
+
+// Plan is all stages of one request.
+type Plan struct {
+	Request string  `cbor:"1,keyasint"`
+	Key     string  `cbor:"2,keyasint,omitempty"`
+	Stages  []Stage `cbor:"3,keyasint"`
+	// Priority is 0 for the most urgent.
+	Priority int `cbor:"4,keyasint"`
+	// Zone is where the results are wanted; empty for anywhere.
+	Zone string `cbor:"5,keyasint,omitempty"`
+	// Due is when the results should be there for the request to be in time,
+	// Last when they must be there for it to be answered at all.
+	Due  time.Time `cbor:"-"`
+	Last time.Time `cbor:"-"`
+}
+
+// Results are what a plan's last stages made.
+type Results struct {
+	// Handles are in the order of the stages.
+	Handles []string `cbor:"1,keyasint"`
+	// Zone is where most of the bytes lie.
+	Zone string `cbor:"2,keyasint,omitempty"`
+	// Wait is how long the plan's pieces waited for calls, over its stages.
+	Wait time.Duration `cbor:"3,keyasint"`
+	// Keeper is the host that accounts for the results.
+	Keeper string `cbor:"4,keyasint"`
+}
+
+// valid reports whether each stage needs only stages before it.
+func (p *Plan) valid() bool {
+	for i, s := range p.Stages {
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// last returns which stages no other stage needs.
+func (p *Plan) last() []bool {
+	last := make([]bool, len(p.Stages))
+	for i := range last {
+		last[i] = true
+	}
+	for _, s := range p.Stages {
+		for _, a := range s.After {
+			last[a] = false
+		}
+	}
+	return last
+}
+
+// graph is a plan on its way.
+type graph struct {
+	*Plan
+	desk *Desk
+	try  int
+	// left holds the pieces that are still committed; desk.mu guards it.
+	left []int
+	made []made
+	done []chan struct{}
+}
+
+// made is what one stage made.
+type made struct {
+	handles []string
+	zone    string
+	wait    time.Duration
+}
+
+// Do has a plan's stages made. The error is a *verdict.Error with NotRun:
+// pieces may be made again.
+func (d *Desk) Do(ctx context.Context, p *Plan) (Results, error) {
+	if !p.valid() {
+		return Results{}, verdict.New(verdict.CodeNotReady, verdict.NotRun, "stages need each other in a circle")
+	}
+	if err := d.admit(p); err != nil {
+		return Results{}, err
+	}
+	left := make([]int, len(p.Stages))
+	for i, s := range p.Stages {
+		left[i] = s.Pieces
+	}
+	defer d.release(p, left)
+	var err error
+	for try := range maxPlanTries {
+		g := &graph{Plan: p, desk: d, try: try, left: left, made: make([]made, len(p.Stages)), done: make([]chan struct{}, len(p.Stages))}
+		if err = g.run(ctx); err == nil {
+			return g.results(), nil
+		}
+		if ctx.Err() != nil {
+			return Results{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stages were cancelled")
+		}
+		if verdict.From(err).Code != verdict.CodeConflict {
+			break
+		}
+	}
+	return Results{}, err
+}
+
+// run makes the stages and returns the first error. Results that are not
+// handed over are freed.
+func (g *graph) run(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	for i := range g.done {
+		g.done[i] = make(chan struct{})
+	}
+	for i := range g.Stages {
+		go func() {
+			defer close(g.done[i])
+			if err := g.make(ctx, i); err != nil {
+				cancel(err)
+			}
+		}()
+	}
+	for _, done := range g.done {
+		<-done
+	}
+	err := context.Cause(ctx)
+	last := g.last()
+	for i, m := range g.made {
+		if err != nil || !last[i] {
+			g.desk.Free(m.handles)
+		}
+	}
+	return err
+}
+
+// make makes one stage once the stages that it needs are made.
+func (g *graph) make(ctx context.Context, stage int) error {
+	s := g.Stages[stage]
+	job := gather.Job{ID: g.Request + "/" + strconv.Itoa(stage) + "/" + strconv.Itoa(g.try), Request: g.Request, Stage: stage,
+		Pieces: s.Pieces, ResultBytes: s.ResultBytes, Priority: g.Priority, Zone: g.Zone}
+	if len(s.After) == 0 {
+		job.Key = g.Key
+	}
+	for _, a := range s.After {
+		select {
+		case <-g.done[a]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		job.Inputs = append(job.Inputs, g.made[a].handles...)
+		if z := g.made[a].zone; z != "" {
+			job.Zone = z
+		}
+	}
+	if s.Pieces == 0 || ctx.Err() != nil {
+		return ctx.Err()
+	}
+	behind := g.behind(stage)
+	job.Due, job.Last = g.Due.Add(-behind), g.Last.Add(-behind)
+	job.Downstream = behind
+	m, err := g.desk.make(ctx, s.Service, job)
+	g.made[stage] = m
+	if err == nil {
+		g.desk.releaseStage(g.Plan, g.left, stage)
+	}
+	return err
+}
+
+// behind returns the time that the stages after a stage take at least.
+func (g *graph) behind(stage int) time.Duration { return g.desk.behind(g.Plan, stage) }
+
+func (d *Desk) behind(p *Plan, stage int) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range p.Stages {
+		for _, a := range s.After {
+			if a == stage {
+				longest = max(longest, hopTime+d.workTime(s)+d.behind(p, i))
+			}
+		}
+	}
+	return longest
+}
+
+func (d *Desk) workTime(s Stage) time.Duration {
+	service, _ := d.catalogue(s.Service)
+	if service == nil || service.Stages == nil {
+		return 0
+	}
+	return gather.WorkTime(service.Stages, s.Pieces)
+}
+
+func (g *graph) results() Results {
+	out := Results{Keeper: g.desk.self}
+	most := int64(-1)
+	last := g.last()
+	for i, m := range g.made {
+		out.Wait += m.wait
+		if !last[i] {
+			continue
+		}
+		out.Handles = append(out.Handles, m.handles...)
+		if size := int64(len(m.handles)) * g.Stages[i].ResultBytes; m.zone != "" && size > most {
+			out.Zone, most = m.zone, size
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stagework/zones.go
@@ -0,0 +1,107 @@
+package stagework
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/gather"
+)
+
+// detour is the difference of the wait for which a plan leaves the zone that
+// it wants: about what its prompt's shared parts take to be read anew.
+const detour = 150 * time.Millisecond
+
+// commitments counts by service and zone the pieces of plans under way that
+// are not made yet, those of stages to come included.
+type commitments map[string]map[string]int
+
+func (c commitments) add(service, zone string, pieces int) {
+	if c[service] == nil {
+		c[service] = make(map[string]int)
+	}
+	c[service][zone] = max(0, c[service][zone]+pieces)
+}
+
+// drainTime is how long n pieces take at so many endpoints in full calls.
+func drainTime(limits *catalog.StageLimits, n, endpoints int) time.Duration {
+	if endpoints == 0 {
+		return never
+	}
+	perPiece := limits.CallTime/time.Duration(limits.Batch) + limits.PieceTime
+	return time.Duration(n) * perPiece / time.Duration(endpoints*limits.Concurrent)
+}
+
+// never is longer than any request waits.
+const never = time.Hour
+
+// zoneFor returns the zone in which a plan's stages are made: the one that it
+// wants, unless the work committed to it takes much longer than another's. d.mu
+// is held.
+func (d *Desk) zoneFor(p *Plan) string {
+	waits := make(map[string]time.Duration)
+	for _, s := range p.Stages {
+		service, endpoints := d.catalogue(s.Service)
+		if s.Pieces == 0 || service == nil || service.Stages == nil {
+			continue
+		}
+		count := make(map[string]int)
+		for _, e := range endpoints {
+			count[e.Zone]++
+		}
+		for _, e := range endpoints {
+			waits[e.Zone] += 0
+		}
+		for zone := range waits {
+			waits[zone] = max(waits[zone], drainTime(service.Stages, d.committed[s.Service][zone]+s.Pieces, count[zone]))
+		}
+	}
+	best := p.Zone
+	zones := make([]string, 0, len(waits))
+	for z := range waits {
+		zones = append(zones, z)
+	}
+	slices.Sort(zones)
+	for _, z := range zones {
+		current, known := waits[best]
+		margin := time.Duration(0)
+		if best == p.Zone {
+			margin = detour
+		}
+		if !known || waits[z]+margin < current {
+			best = z
+		}
+	}
+	return best
+}
+
+// commit counts a plan's pieces as work to come in its zone.
+func (d *Desk) commit(p *Plan) {
+	for _, s := range p.Stages {
+		d.committed.add(s.Service, p.Zone, s.Pieces)
+	}
+}
+
+// backlog is how long all that is committed to a service takes. d.mu is held.
+func (d *Desk) backlog(service string, q *gather.Queue) time.Duration {
+	n := 0
+	for _, pieces := range d.committed[service] {
+		n += pieces
+	}
+	return drainTime(q.Limits(), n, q.Usable())
+}
+
+// releaseStage counts a stage's pieces as made.
+func (d *Desk) releaseStage(p *Plan, left []int, stage int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.committed.add(p.Stages[stage].Service, p.Zone, -left[stage])
+	left[stage] = 0
+}
+
+// release gives up what is still committed to a plan.
+func (d *Desk) release(p *Plan, left []int) {
+	for i := range p.Stages {
+		d.releaseStage(p, left, i)
+	}
+}
