Wait for room rather than make small stage calls

Cause: print-queue's calls held 20 of 30 pieces in the burst while 100 jobs waited: the results of the calls before took the room. Change: a free endpoint waits up to 150 ms for results to be freed if its next call would be a small one; only heavy inputs bind a job to their zone.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -22,6 +22,7 @@
 	held      map[string]holding
 	heldBytes int64
 	downUntil time.Time
+	idleSince time.Time
 	// busyUntil is when the newest call should end.
 	busyUntil time.Time
 	// ratio is how long calls took lately against what they should.
@@ -86,6 +87,14 @@
 	return ok
 }
 
+// Room returns the room for results at an endpoint.
+func (q *Queue) Room(of *catalog.Endpoint) int64 {
+	if e := q.endpoints[of.Lifetime()]; e != nil && e.limits != nil {
+		return e.room()
+	}
+	return 0
+}
+
 func (e *endpoint) room() int64 { return e.limits.RoomBytes - e.heldBytes - e.reserved }
 
 // fits reports whether all pieces of the job that are to be made have room, so
@@ -102,6 +111,7 @@
 // settle takes in what a call's end says of its endpoint.
 func (q *Queue) settle(now time.Time, e *endpoint, c *Call, results []port.PieceResult, err error, notRun bool) {
 	e.calls--
+	e.idleSince = now
 	for _, r := range c.refs {
 		e.reserved -= r.job.ResultBytes
 	}
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -33,6 +33,10 @@
 	// roomWait is how long it mostly takes until results make room: the next
 	// stage's call.
 	roomWait = 300 * time.Millisecond
+	// maxRoomWait bounds the wait of a free endpoint for room, half a call.
+	maxRoomWait = 150 * time.Millisecond
+	// fullCall is the part of a batch from which a call counts as full.
+	fullCall = 0.8
 	// slowWeight is the weight of the newest call in that ratio.
 	slowWeight = 0.5
 )
@@ -54,8 +58,8 @@
 	Priority int
 	// Zone is where the results are wanted; empty for anywhere.
 	Zone string
-	// Downstream is the time that the stages behind this one take.
-	Downstream time.Duration
+	// Bound says that it is worth a wait to have them there.
+	Bound bool
 }
 
 // Finished is the end of a job.
@@ -82,6 +86,20 @@
 	expected time.Duration
 }
 
+// Took returns how long the call has taken.
+func (c *Call) Took(now time.Time) time.Duration { return now.Sub(c.started) }
+
+// Requests returns the requests that the call has pieces of.
+func (c *Call) Requests() []string {
+	var ids []string
+	for _, p := range c.Pieces {
+		if len(ids) == 0 || ids[len(ids)-1] != p.Request {
+			ids = append(ids, p.Request)
+		}
+	}
+	return ids
+}
+
 type ref struct {
 	job   *pending
 	index int
@@ -183,6 +201,7 @@
 		return nil
 	}
 	q.order(now)
+	free = slices.DeleteFunc(free, func(e *endpoint) bool { return q.awaitsRoom(now, e) })
 	calls := make(map[*endpoint]*Call)
 	for _, p := range q.jobs {
 		for len(p.todo) > 0 {
@@ -203,6 +222,27 @@
 	return out
 }
 
+// awaitsRoom reports whether an endpoint's next call should wait for results
+// to be freed: a call costs as much whether it is full or not, and with a full
+// call's pieces waiting the room that is left would make it a small one.
+func (q *Queue) awaitsRoom(now time.Time, e *endpoint) bool {
+	if now.Sub(e.idleSince) > maxRoomWait || len(e.held) == 0 {
+		return false
+	}
+	batch := q.service.Stages.Batch
+	waiting, bytes := 0, int64(0)
+	for _, p := range q.jobs {
+		if !p.Bound || p.Zone == "" || p.Zone == e.Zone {
+			waiting += len(p.todo)
+			bytes += int64(len(p.todo)) * p.ResultBytes
+		}
+	}
+	if waiting < batch || bytes == 0 {
+		return false
+	}
+	return float64(e.room())/(float64(bytes)/float64(waiting)) < fullCall*float64(batch)
+}
+
 // order sorts the jobs: those begun first, then those in time by due time,
 // then those that will be late by their last moment.
 func (q *Queue) order(now time.Time) {
@@ -251,7 +291,7 @@
 		if n >= batch || n > 0 && batch-n < len(p.todo) || !e.fits(p, q.service.Stages) {
 			continue
 		}
-		if p.Zone != "" && e.Zone != p.Zone && q.worthWaiting(now, p) {
+		if p.Bound && p.Zone != "" && e.Zone != p.Zone && q.worthWaiting(now, p) {
 			continue
 		}
 		score := float64(e.room()) / float64(max(1, q.service.Stages.RoomBytes))
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -12,6 +12,9 @@
 const (
 	// defaultFirstEvent is the time to an engine's first event until it is measured.
 	defaultFirstEvent = 200 * time.Millisecond
+	// costlyTokens is the size of a shared prompt that is worth a wait for the
+	// zone whose engine keeps it: reading it anew takes about 50 ms.
+	costlyTokens = 2000
 	// firstEventWeight is the weight of the newest measurement.
 	firstEventWeight = 0.1
 )
@@ -31,7 +34,7 @@
 	}
 	began := r.cfg.Clock.Now()
 	defer func() { r.trace.stages += r.cfg.Clock.Now().Sub(began) }()
-	plan := &stagework.Plan{Request: r.x.ID, Key: r.x.PieceKey, Priority: r.urgency, Zone: r.wantedZone(),
+	plan := &stagework.Plan{Request: r.x.ID, Key: r.x.PieceKey, Priority: r.urgency, Zone: r.wantedZone(), Bound: r.sharedTokens() >= costlyTokens,
 		Due: r.x.Received.Add(r.route.Target - r.firstEvent()), Last: r.deadline.Add(-r.firstEvent())}
 	any := false
 	for i, s := range r.route.Stages {
@@ -97,6 +100,17 @@
 	return cachePart(r.x.Prompt)
 }
 
+// sharedTokens returns the tokens of the prompt that other requests share.
+func (r *run) sharedTokens() int {
+	sum := 0
+	for i, p := range r.x.Prompt {
+		if i+1 < len(r.x.Prompt) {
+			sum += p.Tokens
+		}
+	}
+	return sum
+}
+
 func cachePart(parts []port.PromptPart) string {
 	switch n := len(parts); n {
 	case 0:
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -210,6 +210,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.log.Info("stage call", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
+		slog.String("zone", c.Endpoint.Zone), slog.Int("pieces", len(c.Pieces)), slog.Any("requests", c.Requests()),
+		slog.Int64("took_ms", c.Took(d.clock.Now()).Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.Room(c.Endpoint)))
 	d.settle(q, q.Done(d.clock.Now(), c, results, err, notRun))
 	d.pump(q)
 }
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -13,6 +13,9 @@
 	// hopTime is what a stage takes beside its calls: the way there and the
 	// wait for an endpoint to come free.
 	hopTime = 40 * time.Millisecond
+	// heavyBytes is the size from which results are worth a wait to stay in
+	// their zone: below it, the price of crossing is lost in that of a call.
+	heavyBytes = 256 << 10
 	// maxPlanTries bounds how often a plan is begun anew because inputs were lost.
 	maxPlanTries = 2
 )
@@ -36,6 +39,8 @@
 	Priority int `cbor:"4,keyasint"`
 	// Zone is where the results are wanted; empty for anywhere.
 	Zone string `cbor:"5,keyasint,omitempty"`
+	// Bound says that it is worth a wait to have the results in that zone.
+	Bound bool `cbor:"6,keyasint,omitempty"`
 	// Due is when the results should be there for the request to be in time,
 	// Last when they must be there for it to be answered at all.
 	Due  time.Time `cbor:"-"`
@@ -161,10 +166,11 @@
 func (g *graph) make(ctx context.Context, stage int) error {
 	s := g.Stages[stage]
 	job := gather.Job{ID: g.Request + "/" + strconv.Itoa(stage) + "/" + strconv.Itoa(g.try), Request: g.Request, Stage: stage,
-		Pieces: s.Pieces, ResultBytes: s.ResultBytes, Priority: g.Priority, Zone: g.Zone}
+		Pieces: s.Pieces, ResultBytes: s.ResultBytes, Priority: g.Priority}
 	if len(s.After) == 0 {
 		job.Key = g.Key
 	}
+	heavy := int64(0)
 	for _, a := range s.After {
 		select {
 		case <-g.done[a]:
@@ -172,24 +178,42 @@
 			return ctx.Err()
 		}
 		job.Inputs = append(job.Inputs, g.made[a].handles...)
-		if z := g.made[a].zone; z != "" {
-			job.Zone = z
+		if size := g.size(a) * int64(s.Pieces); size > heavy {
+			heavy, job.Zone = size, g.made[a].zone
 		}
 	}
 	if s.Pieces == 0 || ctx.Err() != nil {
 		return ctx.Err()
 	}
+	job.Bound = heavy >= heavyBytes || len(s.After) == 0 && g.Bound && g.Stages[stage].ResultBytes >= heavyBytes
+	if heavy < heavyBytes {
+		job.Zone = g.zone()
+	}
 	behind := g.behind(stage)
 	job.Due, job.Last = g.Due.Add(-behind), g.Last.Add(-behind)
-	job.Downstream = behind
 	m, err := g.desk.make(ctx, s.Service, job)
 	g.made[stage] = m
 	if err == nil {
 		g.desk.releaseStage(g.Plan, g.left, stage)
+		if m.zone != "" && g.size(stage) >= heavyBytes {
+			g.desk.move(g.Plan, g.left, m.zone)
+		}
 	}
 	return err
 }
 
+// size returns the bytes of a stage's results.
+func (g *graph) size(stage int) int64 {
+	return int64(g.Stages[stage].Pieces) * g.Stages[stage].ResultBytes
+}
+
+// zone returns the zone that the plan is committed to.
+func (g *graph) zone() string {
+	g.desk.mu.Lock()
+	defer g.desk.mu.Unlock()
+	return g.Zone
+}
+
 // behind returns the time that the stages after a stage take at least.
 func (g *graph) behind(stage int) time.Duration { return g.desk.behind(g.Plan, stage) }
 
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -105,3 +105,18 @@
 		d.releaseStage(p, left, i)
 	}
 }
+
+// move commits what is left of a plan to another zone: its next stages follow
+// their inputs.
+func (d *Desk) move(p *Plan, left []int, zone string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if zone == p.Zone {
+		return
+	}
+	for i, s := range p.Stages {
+		d.committed.add(s.Service, p.Zone, -left[i])
+		d.committed.add(s.Service, zone, left[i])
+	}
+	p.Zone = zone
+}
