Follow the store with one watch; let caches outweigh more load

Cause: three waiting calls a host; prompts spilled to engines that had to read their shared parts anew. Change: one watch of all keys; an endpoint is taken for its cache up to six requests beyond the others.

--- a/cmd/pimentorill-edge/main.go
+++ b/cmd/pimentorill-edge/main.go
@@ -13,7 +13,6 @@
 	"github.com/pimentorill/pimentorill/internal/adapter/logs"
 	"github.com/pimentorill/pimentorill/internal/entry"
 	"github.com/pimentorill/pimentorill/internal/exchange"
-	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/platform"
 )
 
@@ -63,11 +62,10 @@
 
 // connect returns the host's surroundings.
 func connect(s entry.Settings, log *slog.Logger) entry.Platform {
-	operator, endpoints, own := platform.Prefixes()
 	return entry.Platform{
 		Feed:      platform.NewStore(s.Store),
 		Decoder:   platform.Decoder(),
-		Prefixes:  facts.Prefixes{Operator: operator, Endpoints: endpoints, Hosts: own},
+		OwnKeys:   platform.OwnKeys,
 		Endpoints: platform.NewEndpoints(),
 		Listen: func(server *exchange.Server) (entry.Front, error) {
 			return platform.Listen(s.Callers, s.Connections, server, log)
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -23,7 +23,7 @@
 	// imbalance and imbalanceSlack bound the load of an endpoint that is taken
 	// for its cache, against the mean of its service.
 	imbalance      = 1.3
-	imbalanceSlack = 3.0
+	imbalanceSlack = 6.0
 	// reportLife is how long a load report is believed.
 	reportLife = 2 * time.Second
 	// minDown and maxDown bound how long an endpoint is left alone after its
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -53,9 +53,10 @@
 
 // Platform is how a host reaches its surroundings.
 type Platform struct {
-	Feed      port.Feed
-	Decoder   port.FactDecoder
-	Prefixes  facts.Prefixes
+	Feed    port.Feed
+	Decoder port.FactDecoder
+	// OwnKeys is the prefix of the system's own keys.
+	OwnKeys   string
 	Endpoints port.Endpoints
 	// Listen opens the callers' address.
 	Listen func(s *exchange.Server) (Front, error)
@@ -93,14 +94,14 @@
 	n.retries = quota.NewRetries(quota.Rule{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
 	n.setHosts(unknownHosts)
 	self := facts.Host{ID: s.Host, Zone: s.Zone, Address: s.Peers, Started: time.Now().UnixMilli()}
-	group, err := peering.Listen(peering.Config{Self: self, Prefix: p.Prefixes.Hosts, Feed: p.Feed, Clock: clock, Log: log,
+	group, err := peering.Listen(peering.Config{Self: self, Prefix: p.OwnKeys, Feed: p.Feed, Clock: clock, Log: log,
 		MinLease: s.MinLease, Hosts: func() map[string]facts.Host { return n.facts.Current().Hosts }})
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	sharing := &factSharing{group: group}
-	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Prefixes: p.Prefixes, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
+	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
 	sharing.answer(n.facts)
 	n.desk = stagework.NewDesk(s.Host, p.Endpoints, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
-	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
 
@@ -57,7 +56,7 @@
 
 // wantedZone is the zone of the endpoint that should run the request.
 func (r *run) wantedZone() string {
-	e := r.cfg.Table.Expected(r.facts.Usable[r.service.Name], balance.Work{Service: r.service, CacheKey: r.cacheKey()})
+	e := r.cfg.Table.Expected(r.facts.Usable[r.service.Name], r.work(""))
 	if e == nil {
 		return ""
 	}
@@ -91,13 +90,14 @@
 	r.first[r.route.Name] = old + time.Duration(firstEventWeight*float64(d-old))
 }
 
-// cacheKey names the prompt part that requests of one subject share: the one
-// before the request's own.
-func (r *run) cacheKey() string {
-	if !r.route.PromptCache {
-		return ""
+// work describes the exchange to the balancer.
+func (r *run) work(zone string) balance.Work {
+	w := balance.Work{Service: r.service, Zone: zone, Avoid: r.tried}
+	if parts := r.x.Prompt; r.route.PromptCache && len(parts) > 0 {
+		// The last part is the request's own; the one before it is its subject's.
+		w.CacheKey = parts[max(0, len(parts)-2)].ID
 	}
-	return cachePart(r.x.Prompt)
+	return w
 }
 
 // sharedTokens returns the tokens of the prompt that other requests share.
@@ -110,14 +110,3 @@
 	}
 	return sum
 }
-
-func cachePart(parts []port.PromptPart) string {
-	switch n := len(parts); n {
-	case 0:
-		return ""
-	case 1:
-		return parts[0].ID
-	default:
-		return parts[n-2].ID
-	}
-}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -1,9 +1,9 @@
 // Package facts follows what the operator has put in force, the endpoints and
 // the hosts, and publishes it as immutable snapshots.
 //
-// One goroutine owns the state. Followers of the store's prefixes, and other
-// hosts that know more, hand it what they learned. Revisions of a prefix never
-// go back within a lifetime.
+// One goroutine owns the state. The follower of the store, and other hosts that
+// know more, hand it what they learned. Its revision never goes back within a
+// lifetime.
 //
 // An endpoint whose entry is missing after the store was away is kept for a
 // moment: entries lapse while the store is away and come back with it.
@@ -36,13 +36,12 @@
 	staleAfter = watchWait + callTimeout
 	// awayAfter is how long the store doesn't answer before other hosts are asked.
 	awayAfter = 500 * time.Millisecond
+	// allKeys is the prefix of all keys.
+	allKeys = ""
 	// askPause is the pause between questions to other hosts.
 	askPause = 300 * time.Millisecond
 )
 
-// Prefixes names the store's prefixes that are followed.
-type Prefixes struct{ Operator, Endpoints, Hosts string }
-
 // Host is another host of the system, or this one.
 type Host struct {
 	ID      string `json:"id"`
@@ -87,24 +86,18 @@
 // Asker asks another host for its facts. The error says that none answered.
 type Asker func(ctx context.Context) (*Dump, error)
 
-// Dump is one host's facts for another.
+// Dump is one host's facts for another: all items as of a revision.
 type Dump struct {
-	Operator  Section       `cbor:"1,keyasint"`
-	Endpoints Section       `cbor:"2,keyasint"`
-	Age       time.Duration `cbor:"3,keyasint"`
-}
-
-// Section is the items under one prefix as of a revision.
-type Section struct {
 	Items []port.FeedItem `cbor:"1,keyasint"`
 	AsOf  int64           `cbor:"2,keyasint"`
+	// Age is how long ago the store confirmed them.
+	Age time.Duration `cbor:"3,keyasint"`
 }
 
 // Config is what Facts need.
 type Config struct {
 	Feed     port.Feed
 	Decoder  port.FactDecoder
-	Prefixes Prefixes
 	Observer Observer
 	Clock    port.Clock
 	Log      *slog.Logger
@@ -123,11 +116,10 @@
 	state   *state
 }
 
-// update is one prefix's items as read, or its changes.
+// update is all items as read, or changes of them.
 type update struct {
-	prefix string
-	items  []port.FeedItem
-	asOf   int64
+	items []port.FeedItem
+	asOf  int64
 	// whole says that items is all there is.
 	whole bool
 	// returned says that the store had been away before this answer.
@@ -152,9 +144,7 @@
 
 // Run follows the store until ctx ends.
 func (f *Facts) Run(ctx context.Context) {
-	for _, prefix := range []string{f.cfg.Prefixes.Operator, f.cfg.Prefixes.Endpoints, f.cfg.Prefixes.Hosts} {
-		go f.follow(ctx, prefix)
-	}
+	go f.follow(ctx)
 	if f.cfg.Ask != nil {
 		go f.askOthers(ctx)
 	}
@@ -173,7 +163,7 @@
 			f.apply(u)
 			close(u.applied)
 		case reply := <-f.dumps:
-			reply <- f.state.dump(f.cfg.Prefixes, f.cfg.Clock.Now())
+			reply <- f.state.dump(f.cfg.Clock.Now())
 		case <-sweep.C:
 			if f.state.sweep(f.cfg.Clock.Now(), f.cfg.Log) {
 				f.publish()
@@ -193,18 +183,19 @@
 	}
 }
 
-// follow reads a prefix and then waits for its changes, until ctx ends.
-func (f *Facts) follow(ctx context.Context, prefix string) {
+// follow reads the store and then waits for its changes, until ctx ends. One
+// watch covers all keys: each waiting call has its price.
+func (f *Facts) follow(ctx context.Context) {
 	pause := minPause
 	asOf := int64(0)
 	for ctx.Err() == nil {
-		items, next, whole, err := f.step(ctx, prefix, asOf)
+		items, next, whole, err := f.step(ctx, asOf)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			if isCompacted(err) {
-				f.cfg.Log.Info("store's history is gone, reading anew", slog.String("prefix", prefix), slog.Int64("after", asOf))
+				f.cfg.Log.Info("store's history is gone, reading anew", slog.Int64("after", asOf))
 				asOf = 0
 				continue
 			}
@@ -216,22 +207,22 @@
 		}
 		pause = minPause
 		returned := f.contact.answered()
-		f.deliver(ctx, update{prefix: prefix, items: items, asOf: next, whole: whole, returned: returned})
+		f.deliver(ctx, update{items: items, asOf: next, whole: whole, returned: returned})
 		asOf = next
 	}
 }
 
 // step makes one call: a read if nothing is known, else a watch.
-func (f *Facts) step(ctx context.Context, prefix string, asOf int64) ([]port.FeedItem, int64, bool, error) {
+func (f *Facts) step(ctx context.Context, asOf int64) ([]port.FeedItem, int64, bool, error) {
 	if asOf == 0 {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		items, next, err := f.cfg.Feed.Read(call, prefix)
+		items, next, err := f.cfg.Feed.Read(call, allKeys)
 		return items, next, true, err
 	}
 	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	items, next, err := f.cfg.Feed.Follow(call, prefix, asOf, watchWait)
+	items, next, err := f.cfg.Feed.Follow(call, allKeys, asOf, watchWait)
 	return items, max(next, asOf), false, err
 }
 
@@ -257,8 +248,7 @@
 		if err != nil || d == nil {
 			continue
 		}
-		f.deliver(ctx, update{prefix: f.cfg.Prefixes.Operator, items: d.Operator.Items, asOf: d.Operator.AsOf, whole: true, age: d.Age})
-		f.deliver(ctx, update{prefix: f.cfg.Prefixes.Endpoints, items: d.Endpoints.Items, asOf: d.Endpoints.AsOf, whole: true, age: d.Age})
+		f.deliver(ctx, update{items: d.Items, asOf: d.AsOf, whole: true, age: d.Age})
 	}
 }
 
@@ -270,7 +260,7 @@
 }
 
 func (f *Facts) publish() {
-	s := f.state.snapshot(f.cfg)
+	s := f.state.snapshot()
 	old := f.current.Swap(s)
 	if s.Config != old.Config && s.Config != nil {
 		f.cfg.Log.Info("configuration in force", slog.Int64("version", s.Config.Version), slog.Int64("revision", s.Revision))
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -17,10 +17,11 @@
 	evacuated map[string]bool
 	endpoints map[string]*known
 	hosts     map[string]Host
-	// items holds the operator's and the endpoints' items as read, for other hosts.
-	items       map[string]port.FeedItem
-	asOf        map[string]int64
-	read        map[string]bool
+	// items holds the items as read, for other hosts.
+	items map[string]port.FeedItem
+	asOf  int64
+	// read is set once the store, or another host, has said what there is.
+	read        bool
 	confirmedAt time.Time
 	unreadable  map[string]bool
 }
@@ -33,19 +34,17 @@
 
 func newState() *state {
 	return &state{evacuated: make(map[string]bool), endpoints: make(map[string]*known), hosts: make(map[string]Host),
-		items: make(map[string]port.FeedItem), asOf: make(map[string]int64), read: make(map[string]bool), unreadable: make(map[string]bool)}
+		items: make(map[string]port.FeedItem), unreadable: make(map[string]bool)}
 }
 
-// apply takes in what a follower or another host said of one prefix.
+// apply takes in what the follower or another host said.
 func (s *state) apply(cfg Config, u update, now time.Time) {
-	if u.asOf < s.asOf[u.prefix] {
+	if u.asOf < s.asOf {
 		return
 	}
-	first := !s.read[u.prefix]
-	s.asOf[u.prefix], s.read[u.prefix] = u.asOf, true
-	if u.prefix == cfg.Prefixes.Operator {
-		s.confirmedAt = later(s.confirmedAt, now.Add(-u.age))
-	}
+	first := !s.read
+	s.asOf, s.read = u.asOf, true
+	s.confirmedAt = later(s.confirmedAt, now.Add(-u.age))
 	if u.whole {
 		s.dropMissing(cfg, u, now)
 	}
@@ -72,7 +71,7 @@
 		there[item.Key] = true
 	}
 	for key := range s.items {
-		if len(key) >= len(u.prefix) && key[:len(u.prefix)] == u.prefix && !there[key] {
+		if !there[key] {
 			s.remove(cfg, key, true, now)
 		}
 	}
@@ -208,9 +207,9 @@
 }
 
 // snapshot returns the state for readers.
-func (s *state) snapshot(cfg Config) *Snapshot {
+func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint), Evacuated: maps.Clone(s.evacuated),
-		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Revision: s.asOf[cfg.Prefixes.Operator]}
+		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Revision: s.asOf}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
 		if !e.Draining && !s.evacuated[e.Zone] {
@@ -224,17 +223,10 @@
 }
 
 // dump returns the facts for another host.
-func (s *state) dump(prefixes Prefixes, now time.Time) *Dump {
-	d := &Dump{Age: now.Sub(s.confirmedAt)}
-	section := func(prefix string) Section {
-		out := Section{AsOf: s.asOf[prefix]}
-		for key, item := range s.items {
-			if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
-				out.Items = append(out.Items, item)
-			}
-		}
-		return out
+func (s *state) dump(now time.Time) *Dump {
+	d := &Dump{Age: now.Sub(s.confirmedAt), AsOf: s.asOf}
+	for _, item := range s.items {
+		d.Items = append(d.Items, item)
 	}
-	d.Operator, d.Endpoints = section(prefixes.Operator), section(prefixes.Endpoints)
 	return d
 }
