Keep stages at the oldest host; learn others' room; hold what is late back

Change: the keeper is the oldest host that answers; a minority keeps to few endpoints; room taken by others is learned and fades; late requests are begun only when the stages behind have room; first comers leave room for those that were refused; suspected hosts are probed in the background.

--- a/internal/adapter/peer/link.go
+++ b/internal/adapter/peer/link.go
@@ -227,6 +227,20 @@
 	}
 }
 
+// Reset closes the outbound connection to an address, if there is one: the next
+// frame opens another.
+func (l *Link) Reset(address string) {
+	l.mu.Lock()
+	d := l.outbound[address]
+	l.mu.Unlock()
+	if d == nil {
+		return
+	}
+	if c := d.current(); c != nil {
+		c.close()
+	}
+}
+
 // Stats returns what the link has counted since its start.
 func (l *Link) Stats() Stats { return l.stats.snapshot() }
 
--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -22,9 +22,13 @@
 	held      map[string]holding
 	heldBytes int64
 	downUntil time.Time
+	downFor   time.Duration
 	idleSince time.Time
 	// busyUntil is when the newest call should end.
 	busyUntil time.Time
+	// foreign is the room that results of other keepers took at foreignAt.
+	foreign   int64
+	foreignAt time.Time
 	// ratio is how long calls took lately against what they should.
 	ratio float64
 }
@@ -61,6 +65,7 @@
 	var free []*endpoint
 	for _, e := range q.endpoints {
 		e.lapse(now)
+		e.fade(now)
 		if e.usable && e.calls < e.limits.Concurrent && !now.Before(e.downUntil) {
 			free = append(free, e)
 		}
@@ -95,7 +100,7 @@
 	return 0
 }
 
-func (e *endpoint) room() int64 { return e.limits.RoomBytes - e.heldBytes - e.reserved }
+func (e *endpoint) room() int64 { return e.limits.RoomBytes - e.heldBytes - e.reserved - e.foreign }
 
 // fits reports whether all pieces of the job that are to be made have room, so
 // that no half of a job waits for the other while it holds room. A job larger
@@ -117,7 +122,8 @@
 	}
 	until := now.Add(q.service.Stages.ResultLife)
 	if err != nil {
-		e.downUntil = now.Add(downTime)
+		e.downFor = min(maxDown, max(minDown, 2*e.downFor))
+		e.downUntil = now.Add(e.downFor)
 		if !notRun {
 			// The results may have been made; nobody knows their handles.
 			for i, r := range c.refs {
@@ -128,6 +134,7 @@
 		return
 	}
 	e.observe(now.Sub(c.started), c.expected)
+	e.downFor = 0
 	noRoom := false
 	for i, r := range c.refs {
 		if h := results[i].Handle; h != "" {
@@ -136,14 +143,22 @@
 		noRoom = noRoom || results[i].Failure == port.PieceNoRoom
 	}
 	if noRoom {
-		// Another host's results are there, or some whose freeing was lost.
-		e.hold("unknown/"+c.started.String(), max(0, e.room()), now.Add(unknownHold))
+		// Another keeper's results are there, or some whose freeing was lost.
+		e.foreign, e.foreignAt = max(0, e.limits.RoomBytes-e.heldBytes-e.reserved), now
 	}
 }
 
-// unknownHold is how long an endpoint that had less room than was known counts
-// as full: a few calls.
-const unknownHold = 600 * time.Millisecond
+// foreignHalf is the time in which half of other keepers' results are thought
+// to be freed: about two calls.
+const foreignHalf = 600 * time.Millisecond
+
+// fade lets go of other keepers' results with time.
+func (e *endpoint) fade(now time.Time) {
+	for e.foreign > 0 && now.Sub(e.foreignAt) >= foreignHalf {
+		e.foreign /= 2
+		e.foreignAt = e.foreignAt.Add(foreignHalf)
+	}
+}
 
 func (e *endpoint) hold(handle string, bytes int64, until time.Time) {
 	e.release(handle)
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -25,8 +25,13 @@
 	// lastCall is how long before its last moment a job that missed its due
 	// time gets its turn after all: about three calls.
 	lastCall = time.Second
-	// downTime is how long an endpoint whose call failed gets no other.
-	downTime = time.Second
+	// minDown and maxDown bound how long an endpoint whose call failed gets no
+	// other; the time doubles with each failure.
+	minDown = 500 * time.Millisecond
+	maxDown = 4 * time.Second
+	// urgencyStep is the time by which a job is put behind those that are a step
+	// more urgent.
+	urgencyStep = 200 * time.Millisecond
 	// slowRatio is the part by which an endpoint's calls take longer than they
 	// should for it to be taken only when no other is free.
 	slowRatio = 2.0
@@ -60,6 +65,11 @@
 	Zone string
 	// Bound says that it is worth a wait to have them there.
 	Bound bool
+	// Expires is when the first of the inputs is lost; zero without inputs.
+	Expires time.Time
+	// Held reports whether the job should not be begun while it is late anyway;
+	// nil for never.
+	Held func() bool
 }
 
 // Finished is the end of a job.
@@ -136,6 +146,15 @@
 // SetService takes in the service's newest limits.
 func (q *Queue) SetService(s *catalog.Service) { q.service = s }
 
+// Waiting returns the number of pieces that wait for a call.
+func (q *Queue) Waiting() int {
+	n := 0
+	for _, p := range q.jobs {
+		n += len(p.todo)
+	}
+	return n
+}
+
 // Len returns the number of jobs that are not done.
 func (q *Queue) Len() int { return len(q.jobs) }
 
@@ -204,6 +223,9 @@
 	free = slices.DeleteFunc(free, func(e *endpoint) bool { return q.awaitsRoom(now, e) })
 	calls := make(map[*endpoint]*Call)
 	for _, p := range q.jobs {
+		if p.late && p.started.IsZero() && p.Held != nil && p.Held() {
+			continue
+		}
 		for len(p.todo) > 0 {
 			e := q.place(now, free, calls, p)
 			if e == nil {
@@ -248,7 +270,9 @@
 func (q *Queue) order(now time.Time) {
 	limits := q.service.Stages
 	for _, p := range q.jobs {
-		p.late = now.Add(WorkTime(limits, len(p.todo))).After(p.Due) && p.Last.Sub(now) > lastCall
+		missed := now.Add(WorkTime(limits, len(p.todo))).After(p.Due)
+		pressed := p.Last.Sub(now) < lastCall || !p.Expires.IsZero() && p.Expires.Sub(now) < lastCall
+		p.late = missed && !pressed
 	}
 	slices.SortStableFunc(q.jobs, func(a, b *pending) int {
 		if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
@@ -273,7 +297,7 @@
 	if p.late {
 		return p.Last
 	}
-	return p.Due
+	return p.Due.Add(time.Duration(p.Priority) * urgencyStep)
 }
 
 // place returns the free endpoint that takes the job's next pieces: in its
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -74,6 +74,7 @@
 	desk     *stagework.Desk
 	server   *exchange.Server
 	front    Front
+	group    *peering.Group
 	metrics  *metrics.Metrics
 	endReady func()
 	cancel   context.CancelFunc
@@ -100,10 +101,11 @@
 		cancel()
 		return nil, err
 	}
+	n.group = group
 	sharing := &factSharing{group: group}
 	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
 	sharing.answer(n.facts)
-	n.desk = stagework.NewDesk(s.Host, p.Endpoints, clock, log, n.stageService)
+	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
 		Stages: stagework.NewMaker(group, n.desk, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
@@ -206,6 +208,7 @@
 	n.mu.Unlock()
 	n.log.Info("stopping", slog.Duration("grace", n.settings.Grace))
 	n.front.CloseAfterAnswer()
+	go n.group.Leave()
 	time.Sleep(min(stillTaken, n.settings.Grace/2))
 	n.server.RefuseNew()
 	n.front.CloseIdle()
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -14,6 +14,9 @@
 	// costlyTokens is the size of a shared prompt that is worth a wait for the
 	// zone whose engine keeps it: reading it anew takes about 50 ms.
 	costlyTokens = 2000
+	// returnedPart is the part of the route's timeout below which a caller's time
+	// shows that it has been here before.
+	returnedPart = 0.97
 	// firstEventWeight is the weight of the newest measurement.
 	firstEventWeight = 0.1
 )
@@ -33,7 +36,7 @@
 	}
 	began := r.cfg.Clock.Now()
 	defer func() { r.trace.stages += r.cfg.Clock.Now().Sub(began) }()
-	plan := &stagework.Plan{Request: r.x.ID, Key: r.x.PieceKey, Priority: r.urgency, Zone: r.wantedZone(), Bound: r.sharedTokens() >= costlyTokens,
+	plan := &stagework.Plan{Request: r.x.ID, Key: r.x.PieceKey, Priority: r.urgency, Zone: r.wantedZone(), Bound: r.sharedTokens() >= costlyTokens, Returned: r.returned(),
 		Due: r.x.Received.Add(r.route.Target - r.firstEvent()), Last: r.deadline.Add(-r.firstEvent())}
 	any := false
 	for i, s := range r.route.Stages {
@@ -100,6 +103,12 @@
 	return w
 }
 
+// returned reports whether the caller has tried before: it has less time than
+// the route gives.
+func (r *run) returned() bool {
+	return r.x.Allowance > 0 && float64(r.x.Allowance) < returnedPart*float64(r.route.Timeout)
+}
+
 // sharedTokens returns the tokens of the prompt that other requests share.
 func (r *run) sharedTokens() int {
 	sum := 0
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -49,6 +49,8 @@
 	Address string `json:"address"`
 	// Started is the start of its process in Unix milliseconds.
 	Started int64 `json:"started"`
+	// Leaving is set once it takes over nothing new.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Snapshot is what is known at one moment. It is immutable.
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -24,6 +24,9 @@
 	read        bool
 	confirmedAt time.Time
 	unreadable  map[string]bool
+	// hostsGone holds the hosts whose entry lapsed while the store was away,
+	// with the time from which they count as gone.
+	hostsGone map[string]time.Time
 }
 
 // known is an endpoint with the time from which it counts as gone.
@@ -34,7 +37,7 @@
 
 func newState() *state {
 	return &state{evacuated: make(map[string]bool), endpoints: make(map[string]*known), hosts: make(map[string]Host),
-		items: make(map[string]port.FeedItem), unreadable: make(map[string]bool)}
+		items: make(map[string]port.FeedItem), unreadable: make(map[string]bool), hostsGone: make(map[string]time.Time)}
 }
 
 // apply takes in what the follower or another host said.
@@ -83,6 +86,7 @@
 		if e := s.endpoints[item.Key]; e != nil {
 			e.goneAt = time.Time{}
 		}
+		delete(s.hostsGone, item.Key)
 		return
 	}
 	s.items[item.Key] = item
@@ -153,6 +157,12 @@
 			return
 		}
 	}
+	if _, known := s.hosts[key]; known && returned {
+		if s.hostsGone[key].IsZero() {
+			s.hostsGone[key] = now.Add(returnTime)
+		}
+		return
+	}
 	delete(s.items, key)
 	switch kind {
 	case port.FactEvacuated:
@@ -192,9 +202,10 @@
 		cfg.Log.Info("host joined", slog.String("host", h.ID), slog.String("address", h.Address), slog.Int64("revision", item.Revision))
 	}
 	s.hosts[item.Key] = h
+	delete(s.hostsGone, item.Key)
 }
 
-// sweep drops the endpoints that should be back and are not. It reports a change.
+// sweep drops the endpoints and hosts that should be back and are not. It reports a change.
 func (s *state) sweep(now time.Time, log *slog.Logger) bool {
 	changed := false
 	for key, e := range s.endpoints {
@@ -203,6 +214,14 @@
 			changed = true
 		}
 	}
+	for key, at := range s.hostsGone {
+		if !now.Before(at) {
+			delete(s.hostsGone, key)
+			delete(s.hosts, key)
+			delete(s.items, key)
+			changed = true
+		}
+	}
 	return changed
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -4,6 +4,7 @@
 package peering
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -34,8 +35,8 @@
 	// stopped answering.
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = 400 * time.Millisecond
-	// suspectTime is how long a host that did not answer is left alone.
-	suspectTime = 2 * time.Second
+	// probeInterval is how often a host that did not answer is asked again.
+	probeInterval = 500 * time.Millisecond
 	// keyBytes is the size of the key that the hosts share.
 	keyBytes = 32
 	// keyName and hostsName are keys of the store under the own prefix.
@@ -64,12 +65,19 @@
 	listener net.Listener
 	handlers map[string]port.RequestHandler
 
-	mu       sync.Mutex
-	link     *peer.Link
-	suspects map[string]time.Time
+	// ctx ends with Run.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu   sync.Mutex
+	link *peer.Link
+	// suspects holds the hosts that did not answer; each is probed until it does.
+	suspects map[string]bool
 	// asking holds the hosts with questions under way.
 	asking map[string]*asked
-	lease  int64
+	// lease and revision are those of the own entry.
+	lease, revision int64
+	leaving         bool
 }
 
 // asked is a host with questions under way; its context ends when it stops answering.
@@ -85,8 +93,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
-	g := &Group{cfg: cfg, listener: l, handlers: make(map[string]port.RequestHandler),
-		suspects: make(map[string]time.Time), asking: make(map[string]*asked)}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Group{cfg: cfg, ctx: ctx, cancel: cancel, listener: l, handlers: make(map[string]port.RequestHandler),
+		suspects: make(map[string]bool), asking: make(map[string]*asked)}
 	g.Handle(kindPing, func(context.Context, port.Member, []byte) ([]byte, error) { return []byte{1}, nil })
 	return g, nil
 }
@@ -96,6 +105,7 @@
 
 // Run joins the group and stays in it until ctx ends.
 func (g *Group) Run(ctx context.Context) {
+	defer g.cancel()
 	key := g.sharedKey(ctx)
 	if key == nil {
 		g.listener.Close()
@@ -205,10 +215,6 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := json.Marshal(g.cfg.Self)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode own entry")
-	}
 	name := g.cfg.Prefix + hostsName + g.cfg.Self.ID
 	items, _, err := g.cfg.Feed.Read(call, name)
 	if err != nil {
@@ -220,9 +226,13 @@
 			prev = i.Revision
 		}
 	}
-	if _, err = g.cfg.Feed.Write(call, name, value, prev, lease); err != nil {
+	revision, err := g.write(call, prev, lease)
+	if err != nil {
 		return 0, err
 	}
+	g.mu.Lock()
+	g.lease, g.revision = lease, revision
+	g.mu.Unlock()
 	g.cfg.Log.Info("entered among the hosts", slog.Int64("lease", lease))
 	return lease, nil
 }
@@ -230,15 +240,11 @@
 // Others returns the ids of the other hosts that are not suspected.
 func (g *Group) Others() []string {
 	hosts := g.cfg.Hosts()
-	now := g.cfg.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var ids []string
 	for id := range hosts {
-		if until, ok := g.suspects[id]; ok && now.Before(until) {
-			continue
-		}
-		if id != g.cfg.Self.ID {
+		if !g.suspects[id] && id != g.cfg.Self.ID {
 			ids = append(ids, id)
 		}
 	}
@@ -246,8 +252,72 @@
 	return ids
 }
 
-// Live returns Others and this host.
-func (g *Group) Live() []string { return append(g.Others(), g.cfg.Self.ID) }
+// Elders returns the hosts that answer and are not leaving, this one among
+// them, the one that started first first. A host that comes back takes nothing
+// over from those that stayed.
+func (g *Group) Elders() []string {
+	hosts := g.cfg.Hosts()
+	self := g.self()
+	list := []facts.Host{self}
+	for _, id := range g.Others() {
+		if h := hosts[id]; !h.Leaving {
+			list = append(list, h)
+		}
+	}
+	if self.Leaving && len(list) > 1 {
+		list = list[1:]
+	}
+	slices.SortFunc(list, func(a, b facts.Host) int {
+		return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID))
+	})
+	ids := make([]string, 0, len(list))
+	for _, h := range list {
+		ids = append(ids, h.ID)
+	}
+	return ids
+}
+
+// Reach returns the part of the known hosts that answer, this one among them.
+func (g *Group) Reach() float64 {
+	known := len(g.cfg.Hosts())
+	if _, entered := g.cfg.Hosts()[g.cfg.Self.ID]; !entered {
+		known++
+	}
+	return float64(len(g.Others())+1) / float64(known)
+}
+
+func (g *Group) self() facts.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	h := g.cfg.Self
+	h.Leaving = g.leaving
+	return h
+}
+
+// Leave tells the other hosts that this one takes over nothing new.
+func (g *Group) Leave() {
+	g.mu.Lock()
+	g.leaving = true
+	lease, revision := g.lease, g.revision
+	g.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
+	defer cancel()
+	if _, err := g.write(ctx, revision, lease); err != nil {
+		g.cfg.Log.Info("the others are not told that this host leaves", slog.Any("error", err))
+	}
+}
+
+// write writes this host's entry and returns its revision.
+func (g *Group) write(ctx context.Context, prev, lease int64) (int64, error) {
+	value, err := json.Marshal(g.self())
+	if err != nil {
+		return 0, errors.Wrap(err, "encode own entry")
+	}
+	return g.cfg.Feed.Write(ctx, g.cfg.Prefix+hostsName+g.cfg.Self.ID, value, prev, lease)
+}
 
 // Self returns this host's id.
 func (g *Group) Self() string { return g.cfg.Self.ID }
@@ -302,35 +372,69 @@
 	for {
 		port.Sleep(a.ctx, pingInterval)
 		host, known := g.cfg.Hosts()[id]
+		if a.ctx.Err() != nil || !known {
+			return
+		}
+		err := g.ping(a.ctx, host.Address)
+		if err == nil || a.ctx.Err() != nil {
+			continue
+		}
 		g.mu.Lock()
-		link := g.link
+		if g.asking[id] == a {
+			delete(g.asking, id)
+		}
 		g.mu.Unlock()
-		if a.ctx.Err() != nil || link == nil || !known {
+		g.suspect(id, err)
+		a.cancel()
+		return
+	}
+}
+
+// suspect leaves a host alone until it answers a probe or is gone.
+func (g *Group) suspect(id string, err error) {
+	g.mu.Lock()
+	known := g.suspects[id]
+	g.suspects[id] = true
+	g.mu.Unlock()
+	if known {
+		return
+	}
+	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
+	go g.probe(id)
+}
+
+func (g *Group) probe(id string) {
+	for {
+		port.Sleep(g.ctx, probeInterval)
+		host, known := g.cfg.Hosts()[id]
+		if g.ctx.Err() != nil {
 			return
 		}
-		call, cancel := context.WithTimeout(a.ctx, pingTimeout)
-		_, err := link.Ask(call, host.Address, kindPing, nil)
-		cancel()
-		if err != nil && a.ctx.Err() == nil {
-			g.mu.Lock()
-			if g.asking[id] == a {
-				delete(g.asking, id)
-			}
-			g.mu.Unlock()
-			g.suspect(id, err)
-			a.cancel()
-			return
+		if known && g.ping(g.ctx, host.Address) != nil {
+			continue
 		}
+		g.mu.Lock()
+		delete(g.suspects, id)
+		g.mu.Unlock()
+		g.cfg.Log.Info("host answers again or is gone", slog.String("host", id), slog.Bool("known", known))
+		return
 	}
 }
 
-func (g *Group) suspect(id string, err error) {
+// ping asks a host for a sign of life.
+func (g *Group) ping(ctx context.Context, address string) error {
 	g.mu.Lock()
-	now := g.cfg.Clock.Now()
-	fresh := !now.Before(g.suspects[id])
-	g.suspects[id] = now.Add(suspectTime)
+	link := g.link
 	g.mu.Unlock()
-	if fresh {
-		g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
+	if link == nil {
+		return verdict.New(verdict.CodeNotReady, verdict.NotRun, "not among the hosts yet")
+	}
+	call, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err := link.Ask(call, address, kindPing, nil)
+	if err != nil && ctx.Err() == nil {
+		// The connection may have gone silent: the next question opens another.
+		link.Reset(address)
 	}
+	return err
 }
--- /dev/null
+++ b/internal/stagework/admit.go
@@ -0,0 +1,84 @@
+package stagework
+
+import (
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+)
+
+const (
+	// shortRetry and longRetry bound the time after which a caller that was
+	// refused is asked to come back.
+	shortRetry = 300 * time.Millisecond
+	longRetry  = 2 * time.Second
+	// firstPart is the part of its time that a request may need to be taken when
+	// it comes first. What is left lets those that come back find room: to
+	// refuse them twice is the dearest end.
+	firstPart = 0.6
+	// slownessWeight is the weight of the newest plan in the desk's slowness,
+	// minSlowness and maxSlowness bound it.
+	slownessWeight = 0.05
+	minSlowness    = 0.8
+	maxSlowness    = 3.0
+)
+
+// admit commits the endpoints to a plan and returns how long it should take. It
+// refuses one that can't be done in time, with the time after which its stages
+// should have room again. The error is a *verdict.Error.
+func (d *Desk) admit(p *Plan) (time.Duration, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	forecast, err := d.forecast(p)
+	if err != nil {
+		return 0, err
+	}
+	left := p.Last.Sub(d.clock.Now())
+	if !p.Returned {
+		left = time.Duration(firstPart * float64(left))
+	}
+	expected := time.Duration(d.slowness * float64(forecast))
+	if expected > left {
+		return 0, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
+			WithRetryAfter(min(longRetry, max(shortRetry, expected-left)))
+	}
+	p.Zone = d.zoneFor(p)
+	d.commit(p)
+	return forecast, nil
+}
+
+// forecast returns how long a plan takes behind what is committed already, if
+// calls are full. d.mu is held.
+func (d *Desk) forecast(p *Plan) (time.Duration, error) {
+	ends := make([]time.Duration, len(p.Stages))
+	total := time.Duration(0)
+	for i, s := range p.Stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		q, err := d.queue(s.Service)
+		if err != nil {
+			return 0, err
+		}
+		if q.Usable() == 0 {
+			return 0, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint for the stage").WithRetryAfter(shortRetry)
+		}
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] = max(ends[i], d.backlog(s.Service, q.Queue)) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
+		total = max(total, ends[i])
+	}
+	return total, nil
+}
+
+// observe compares a plan's time with its forecast.
+func (d *Desk) observe(forecast, took time.Duration) {
+	if forecast <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ratio := min(maxSlowness, max(minSlowness, float64(took)/float64(forecast)))
+	d.slowness += slownessWeight * (ratio - d.slowness)
+}
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -1,8 +1,8 @@
 // Package stagework has the stages of requests made. One host, the keeper,
 // gathers the pieces of all hosts into calls, so that it alone knows which
-// endpoint is free and has room; the others hand it their plans. Hosts choose
-// the keeper by rendezvous hashing among the hosts that answer, and go to the
-// next one at once when it stops answering.
+// endpoint is free and has room; the others hand it their plans. The keeper is
+// the host that started first of those that answer; when it stops answering,
+// plans go to the next one at once.
 package stagework
 
 import (
@@ -22,9 +22,6 @@
 	tick = 20 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
-	// shortRetry is the least time after which a caller that was refused is
-	// asked to come back.
-	shortRetry = 300 * time.Millisecond
 )
 
 // Desk keeps the queues of the services that this host is the keeper of. It
@@ -34,12 +31,17 @@
 	endpoints port.Endpoints
 	clock     port.Clock
 	log       *slog.Logger
+	zone      string
+	// reach returns the part of the hosts that this one reaches.
+	reach func() float64
 	// catalogue returns a service and its endpoints.
 	catalogue func(service string) (*catalog.Service, []*catalog.Endpoint)
 
 	mu        sync.Mutex
 	queues    map[string]*queue
 	committed commitments
+	// slowness is how long plans take against their forecast.
+	slowness float64
 }
 
 type queue struct {
@@ -48,8 +50,8 @@
 }
 
 // NewDesk returns a desk without queues.
-func NewDesk(self string, endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
-	return &Desk{self: self, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments)}
+func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
+	return &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments), slowness: 1}
 }
 
 // Run looks for room until ctx ends.
@@ -94,39 +96,6 @@
 	}
 }
 
-// admit commits the endpoints to a plan, or refuses one that can't be done in
-// time, with the time after which its stages should have room again.
-func (d *Desk) admit(p *Plan) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	ends := make([]time.Duration, len(p.Stages))
-	total := time.Duration(0)
-	for i, s := range p.Stages {
-		if s.Pieces == 0 {
-			continue
-		}
-		q, err := d.queue(s.Service)
-		if err != nil {
-			return err
-		}
-		if q.Usable() == 0 {
-			return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint for the stage").WithRetryAfter(shortRetry)
-		}
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] = max(ends[i], d.backlog(s.Service, q.Queue)) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
-		total = max(total, ends[i])
-	}
-	left := p.Last.Sub(d.clock.Now())
-	if total > left {
-		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").WithRetryAfter(max(shortRetry, total-left))
-	}
-	p.Zone = d.zoneFor(p)
-	d.commit(p)
-	return nil
-}
-
 func (d *Desk) queue(service string) (*queue, error) {
 	s, endpoints := d.catalogue(service)
 	if s == nil || s.Stages == nil {
@@ -138,7 +107,7 @@
 		d.queues[service] = q
 	}
 	q.SetService(s)
-	q.SetEndpoints(endpoints)
+	q.SetEndpoints(d.share(service, endpoints))
 	return q, nil
 }
 
@@ -155,7 +124,7 @@
 
 func (d *Desk) result(f gather.Finished) (made, error) {
 	if f.Failure == port.PieceMade {
-		return made{f.Handles, f.Zone, f.Wait}, nil
+		return made{f.Handles, f.Zone, f.Wait, d.clock.Now()}, nil
 	}
 	d.Free(f.Handles)
 	code := verdict.CodeEndpointFailed
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -8,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -30,8 +29,9 @@
 
 // Peers reaches the other hosts.
 type Peers interface {
-	// Live returns the hosts that answer, this one among them.
-	Live() []string
+	// Elders returns the hosts that answer, this one among them, the one that
+	// started first first.
+	Elders() []string
 	Self() string
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
 	Handle(kind string, fn port.RequestHandler)
@@ -98,16 +98,14 @@
 	return m.desk.Do(ctx, p)
 }
 
-// keeper returns the host that gathers pieces. All hosts that know the same
-// hosts choose the same one.
+// keeper returns the host that gathers pieces: the oldest that was not tried.
 func (m *Maker) keeper(tried map[string]bool) string {
-	var ids []string
-	for _, id := range m.peers.Live() {
+	for _, id := range m.peers.Elders() {
 		if !tried[id] {
-			ids = append(ids, id)
+			return id
 		}
 	}
-	return membership.Rendezvous(ids, "stages", 1)[0]
+	return m.peers.Self()
 }
 
 // ask hands the plan to a keeper. answered says that the keeper settled it.
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -16,6 +16,11 @@
 	// heavyBytes is the size from which results are worth a wait to stay in
 	// their zone: below it, the price of crossing is lost in that of a call.
 	heavyBytes = 256 << 10
+	// busyCall is the part to which calls are full when endpoints are busy.
+	busyCall = 0.7
+	// crowdedTime is the work that waits at a stage from which requests that are
+	// late anyway are not begun: their results would lapse there.
+	crowdedTime = 400 * time.Millisecond
 	// maxPlanTries bounds how often a plan is begun anew because inputs were lost.
 	maxPlanTries = 2
 )
@@ -41,6 +46,8 @@
 	Zone string `cbor:"5,keyasint,omitempty"`
 	// Bound says that it is worth a wait to have the results in that zone.
 	Bound bool `cbor:"6,keyasint,omitempty"`
+	// Returned says that the caller has been refused before.
+	Returned bool `cbor:"7,keyasint,omitempty"`
 	// Due is when the results should be there for the request to be in time,
 	// Last when they must be there for it to be answered at all.
 	Due  time.Time `cbor:"-"`
@@ -101,6 +108,7 @@
 	handles []string
 	zone    string
 	wait    time.Duration
+	at      time.Time
 }
 
 // Do has a plan's stages made. The error is a *verdict.Error with NotRun:
@@ -109,18 +117,20 @@
 	if !p.valid() {
 		return Results{}, verdict.New(verdict.CodeNotReady, verdict.NotRun, "stages need each other in a circle")
 	}
-	if err := d.admit(p); err != nil {
+	forecast, err := d.admit(p)
+	if err != nil {
 		return Results{}, err
 	}
+	began := d.clock.Now()
 	left := make([]int, len(p.Stages))
 	for i, s := range p.Stages {
 		left[i] = s.Pieces
 	}
 	defer d.release(p, left)
-	var err error
 	for try := range maxPlanTries {
 		g := &graph{Plan: p, desk: d, try: try, left: left, made: make([]made, len(p.Stages)), done: make([]chan struct{}, len(p.Stages))}
 		if err = g.run(ctx); err == nil {
+			d.observe(forecast, d.clock.Now().Sub(began))
 			return g.results(), nil
 		}
 		if ctx.Err() != nil {
@@ -189,8 +199,12 @@
 	if heavy < heavyBytes {
 		job.Zone = g.zone()
 	}
-	behind := g.behind(stage)
-	job.Due, job.Last = g.Due.Add(-behind), g.Last.Add(-behind)
+	job.Due, job.Last = g.Due.Add(-g.desk.behind(g.Plan, stage, 0)), g.Last.Add(-g.desk.behind(g.Plan, stage, busyCall))
+	if len(s.After) > 0 {
+		job.Expires = g.expires(s.After)
+	} else if next := g.next(stage); len(next) > 0 {
+		job.Held = func() bool { return g.desk.crowded(g.Plan, next) }
+	}
 	m, err := g.desk.make(ctx, s.Service, job)
 	g.made[stage] = m
 	if err == nil {
@@ -214,27 +228,56 @@
 	return g.Zone
 }
 
-// behind returns the time that the stages after a stage take at least.
-func (g *graph) behind(stage int) time.Duration { return g.desk.behind(g.Plan, stage) }
+// next returns the stages that need a stage's results, and those after them.
+func (g *graph) next(stage int) []int {
+	behind := map[int]bool{stage: true}
+	var next []int
+	for i, s := range g.Stages {
+		for _, a := range s.After {
+			if behind[a] && !behind[i] {
+				behind[i] = true
+				next = append(next, i)
+			}
+		}
+	}
+	return next
+}
+
+// expires returns when the first results of some stages are lost.
+func (g *graph) expires(stages []int) time.Time {
+	var first time.Time
+	for _, a := range stages {
+		service, _ := g.desk.catalogue(g.Stages[a].Service)
+		if service == nil || service.Stages == nil || g.made[a].at.IsZero() {
+			continue
+		}
+		if at := g.made[a].at.Add(service.Stages.ResultLife); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
 
-func (d *Desk) behind(p *Plan, stage int) time.Duration {
+// behind returns the time that the stages after a stage take at least, in
+// calls that are full to the part given.
+func (d *Desk) behind(p *Plan, stage int, full float64) time.Duration {
 	longest := time.Duration(0)
 	for i, s := range p.Stages {
 		for _, a := range s.After {
 			if a == stage {
-				longest = max(longest, hopTime+d.workTime(s)+d.behind(p, i))
+				longest = max(longest, hopTime+d.workTime(s, full)+d.behind(p, i, full))
 			}
 		}
 	}
 	return longest
 }
 
-func (d *Desk) workTime(s Stage) time.Duration {
+func (d *Desk) workTime(s Stage, full float64) time.Duration {
 	service, _ := d.catalogue(s.Service)
 	if service == nil || service.Stages == nil {
 		return 0
 	}
-	return gather.WorkTime(service.Stages, s.Pieces)
+	return gather.WorkTime(service.Stages, max(s.Pieces, int(full*float64(service.Stages.Batch))))
 }
 
 func (g *graph) results() Results {
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -1,11 +1,13 @@
 package stagework
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/membership"
 )
 
 // detour is the difference of the wait for which a plan leaves the zone that
@@ -120,3 +122,45 @@
 	}
 	p.Zone = zone
 }
+
+// minority is the part of the hosts below which a keeper leaves endpoints to
+// the keeper of the others.
+const minority = 0.5
+
+// share returns the endpoints that this keeper calls. One that reaches only a
+// minority of the hosts has little work, and its small calls would take the
+// endpoints' time from the others: it keeps to few of them, in its zone first.
+func (d *Desk) share(service string, endpoints []*catalog.Endpoint) []*catalog.Endpoint {
+	part := d.reach()
+	if part >= minority || len(endpoints) == 0 {
+		return endpoints
+	}
+	ids := make(map[string]*catalog.Endpoint, len(endpoints))
+	var near, far []string
+	for _, e := range endpoints {
+		ids[e.ID] = e
+		if e.Zone == d.zone {
+			near = append(near, e.ID)
+		} else {
+			far = append(far, e.ID)
+		}
+	}
+	order := append(membership.Rendezvous(near, service+"/"+d.self, len(near)), membership.Rendezvous(far, service+"/"+d.self, len(far))...)
+	n := max(1, int(math.Ceil(part/minority*float64(len(endpoints)))))
+	out := make([]*catalog.Endpoint, 0, n)
+	for _, id := range order[:n] {
+		out = append(out, ids[id])
+	}
+	return out
+}
+
+// crowded reports whether more work waits at one of a plan's stages than its
+// endpoints do soon. d.mu is held.
+func (d *Desk) crowded(p *Plan, stages []int) bool {
+	for _, i := range stages {
+		if q := d.queues[p.Stages[i].Service]; q != nil && drainTime(q.Limits(), q.Waiting(), q.Usable()) > crowdedTime {
+			return true
+		}
+	}
+	return false
+}
