Give late requests a share of the stages' time and no more

Change: late jobs take at most 0.35 of the pieces while others wait, except those that hold results already; a request that will be late is admitted against that share, and refused otherwise.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -22,6 +22,11 @@
 	// callSlack and callOverrun bound a call, against the time that it should take.
 	callSlack   = 250 * time.Millisecond
 	callOverrun = 2.0
+	// LateShare is the share of the endpoints' time that late jobs may take from
+	// those in time.
+	LateShare = 0.35
+	// servedDecay is the part of the count of pieces that is kept at each job.
+	servedDecay = 0.98
 	// lastCall is how long before its last moment a job that missed its due
 	// time gets its turn after all: about three calls.
 	lastCall = time.Second
@@ -38,10 +43,10 @@
 	// roomWait is how long it mostly takes until results make room: the next
 	// stage's call.
 	roomWait = 300 * time.Millisecond
-	// maxRoomWait bounds the wait of a free endpoint for room, half a call.
-	maxRoomWait = 150 * time.Millisecond
+	// maxRoomWait bounds the wait of a free endpoint for room.
+	maxRoomWait = 100 * time.Millisecond
 	// fullCall is the part of a batch from which a call counts as full.
-	fullCall = 0.8
+	fullCall = 0.4
 	// slowWeight is the weight of the newest call in that ratio.
 	slowWeight = 0.5
 )
@@ -126,8 +131,9 @@
 	todo      []int
 	working   int
 	cancelled bool
-	// late is set once the due time can't be met.
-	late bool
+	// late is set once the due time can't be met, pressed if it gets its turn
+	// all the same.
+	late, pressed bool
 }
 
 // Queue holds the jobs of one service. It is pure and not safe for concurrent use.
@@ -135,7 +141,9 @@
 	service   *catalog.Service
 	endpoints map[catalog.Lifetime]*endpoint
 	jobs      []*pending
-	byID      map[string]*pending
+	// served and servedLate count the pieces given to endpoints lately.
+	served, servedLate float64
+	byID               map[string]*pending
 }
 
 // New returns an empty queue of a stage service.
@@ -223,7 +231,7 @@
 	free = slices.DeleteFunc(free, func(e *endpoint) bool { return q.awaitsRoom(now, e) })
 	calls := make(map[*endpoint]*Call)
 	for _, p := range q.jobs {
-		if p.late && p.started.IsZero() && p.Held != nil && p.Held() {
+		if p.late && !p.pressed && p.started.IsZero() && p.Held != nil && p.Held() {
 			continue
 		}
 		for len(p.todo) > 0 {
@@ -266,13 +274,15 @@
 }
 
 // order sorts the jobs: those begun first, then those in time by due time,
-// then those that will be late by their last moment.
+// then those that will be late by their last moment. Late ones whose last
+// moment is near have a share of the endpoints' time, no more: with all of it,
+// each request would wait until it is late in a long overload.
 func (q *Queue) order(now time.Time) {
 	limits := q.service.Stages
 	for _, p := range q.jobs {
-		missed := now.Add(WorkTime(limits, len(p.todo))).After(p.Due)
+		p.late = now.Add(WorkTime(limits, len(p.todo))).After(p.Due)
 		pressed := p.Last.Sub(now) < lastCall || !p.Expires.IsZero() && p.Expires.Sub(now) < lastCall
-		p.late = missed && !pressed
+		p.pressed = p.late && pressed && (!p.Expires.IsZero() || q.servedLate < LateShare*q.served)
 	}
 	slices.SortStableFunc(q.jobs, func(a, b *pending) int {
 		if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
@@ -286,7 +296,7 @@
 	switch {
 	case !p.started.IsZero():
 		return 0
-	case !p.late:
+	case !p.late || p.pressed:
 		return 1
 	default:
 		return 2
@@ -382,6 +392,11 @@
 		c.Pieces = append(c.Pieces, port.Piece{Request: p.Request, Stage: p.Stage, Index: index,
 			Remaining: p.Last.Sub(now), Key: p.Key, Inputs: p.Inputs})
 	}
+	q.served = q.served*servedDecay + float64(n)
+	q.servedLate *= servedDecay
+	if p.late {
+		q.servedLate += float64(n)
+	}
 	e.reserved += int64(n) * p.ResultBytes
 	p.working += n
 	p.todo = p.todo[n:]
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -24,32 +24,48 @@
 )
 
 // admit commits the endpoints to a plan and returns how long it should take. It
-// refuses one that can't be done in time, with the time after which its stages
-// should have room again. The error is a *verdict.Error.
+// refuses one that can't be done, with the time after which its stages should
+// have room again. The error is a *verdict.Error.
 func (d *Desk) admit(p *Plan) (time.Duration, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	forecast, err := d.forecast(p)
+	now := d.clock.Now()
+	forecast, err := d.forecast(p, d.committed, 1)
 	if err != nil {
 		return 0, err
 	}
-	left := p.Last.Sub(d.clock.Now())
+	if expected := time.Duration(d.slowness * float64(forecast)); now.Add(expected).After(p.Due) {
+		if err := d.admitLate(p, now); err != nil {
+			return 0, err
+		}
+	}
+	p.Zone = d.zoneFor(p)
+	d.commit(p)
+	return forecast, nil
+}
+
+// admitLate refuses a plan that will be late, if the share of the endpoints'
+// time that late ones have is taken. d.mu is held.
+func (d *Desk) admitLate(p *Plan, now time.Time) error {
+	forecast, err := d.forecast(p, d.committedLate, 1/gather.LateShare)
+	if err != nil {
+		return err
+	}
+	left := p.Last.Sub(now)
 	if !p.Returned {
 		left = time.Duration(firstPart * float64(left))
 	}
-	expected := time.Duration(d.slowness * float64(forecast))
-	if expected > left {
-		return 0, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
+	if expected := time.Duration(d.slowness * float64(forecast)); expected > left {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
 			WithRetryAfter(min(longRetry, max(shortRetry, expected-left)))
 	}
-	p.Zone = d.zoneFor(p)
-	d.commit(p)
-	return forecast, nil
+	p.late = true
+	return nil
 }
 
-// forecast returns how long a plan takes behind what is committed already, if
-// calls are full. d.mu is held.
-func (d *Desk) forecast(p *Plan) (time.Duration, error) {
+// forecast returns how long a plan takes behind some commitments, if calls are
+// full. weight multiplies them. d.mu is held.
+func (d *Desk) forecast(p *Plan, c commitments, weight float64) (time.Duration, error) {
 	ends := make([]time.Duration, len(p.Stages))
 	total := time.Duration(0)
 	for i, s := range p.Stages {
@@ -66,15 +82,16 @@
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] = max(ends[i], d.backlog(s.Service, q.Queue)) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
+		behind := drainTime(q.Limits(), int(weight*float64(c.sum(s.Service))), q.Usable())
+		ends[i] = max(ends[i], behind) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
 		total = max(total, ends[i])
 	}
 	return total, nil
 }
 
 // observe compares a plan's time with its forecast.
-func (d *Desk) observe(forecast, took time.Duration) {
-	if forecast <= 0 {
+func (d *Desk) observe(p *Plan, forecast, took time.Duration) {
+	if forecast <= 0 || p.late {
 		return
 	}
 	d.mu.Lock()
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -37,9 +37,10 @@
 	// catalogue returns a service and its endpoints.
 	catalogue func(service string) (*catalog.Service, []*catalog.Endpoint)
 
-	mu        sync.Mutex
-	queues    map[string]*queue
-	committed commitments
+	mu     sync.Mutex
+	queues map[string]*queue
+	// committed counts plans that should be in time, committedLate the others.
+	committed, committedLate commitments
 	// slowness is how long plans take against their forecast.
 	slowness float64
 }
@@ -51,7 +52,7 @@
 
 // NewDesk returns a desk without queues.
 func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
-	return &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments), slowness: 1}
+	return &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments), slowness: 1}
 }
 
 // Run looks for room until ctx ends.
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -52,6 +52,9 @@
 	// Last when they must be there for it to be answered at all.
 	Due  time.Time `cbor:"-"`
 	Last time.Time `cbor:"-"`
+
+	// late is set if it was admitted though it will be late.
+	late bool
 }
 
 // Results are what a plan's last stages made.
@@ -130,7 +133,7 @@
 	for try := range maxPlanTries {
 		g := &graph{Plan: p, desk: d, try: try, left: left, made: make([]made, len(p.Stages)), done: make([]chan struct{}, len(p.Stages))}
 		if err = g.run(ctx); err == nil {
-			d.observe(forecast, d.clock.Now().Sub(began))
+			d.observe(p, forecast, d.clock.Now().Sub(began))
 			return g.results(), nil
 		}
 		if ctx.Err() != nil {
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
-	"github.com/pimentorill/pimentorill/internal/core/gather"
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 )
 
@@ -77,27 +76,35 @@
 	return best
 }
 
-// commit counts a plan's pieces as work to come in its zone.
-func (d *Desk) commit(p *Plan) {
-	for _, s := range p.Stages {
-		d.committed.add(s.Service, p.Zone, s.Pieces)
+// sum returns the pieces committed to a service.
+func (c commitments) sum(service string) int {
+	n := 0
+	for _, pieces := range c[service] {
+		n += pieces
 	}
+	return n
 }
 
-// backlog is how long all that is committed to a service takes. d.mu is held.
-func (d *Desk) backlog(service string, q *gather.Queue) time.Duration {
-	n := 0
-	for _, pieces := range d.committed[service] {
-		n += pieces
+// commitmentsOf returns where a plan's pieces are counted.
+func (d *Desk) commitmentsOf(p *Plan) commitments {
+	if p.late {
+		return d.committedLate
+	}
+	return d.committed
+}
+
+// commit counts a plan's pieces as work to come in its zone.
+func (d *Desk) commit(p *Plan) {
+	for _, s := range p.Stages {
+		d.commitmentsOf(p).add(s.Service, p.Zone, s.Pieces)
 	}
-	return drainTime(q.Limits(), n, q.Usable())
 }
 
 // releaseStage counts a stage's pieces as made.
 func (d *Desk) releaseStage(p *Plan, left []int, stage int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.committed.add(p.Stages[stage].Service, p.Zone, -left[stage])
+	d.commitmentsOf(p).add(p.Stages[stage].Service, p.Zone, -left[stage])
 	left[stage] = 0
 }
 
@@ -116,9 +123,10 @@
 	if zone == p.Zone {
 		return
 	}
+	c := d.commitmentsOf(p)
 	for i, s := range p.Stages {
-		d.committed.add(s.Service, p.Zone, -left[i])
-		d.committed.add(s.Service, zone, left[i])
+		c.add(s.Service, p.Zone, -left[i])
+		c.add(s.Service, zone, left[i])
 	}
 	p.Zone = zone
 }
