Wait for room as long as a fuller call pays; log each request's stages

Cause: a fixed threshold let endpoints idle at print-queue and make calls of a third at billing-ledger. Change: a free endpoint waits half of the time at which a full call would be no better than the one it can make.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -44,9 +44,10 @@
 	// stage's call.
 	roomWait = 300 * time.Millisecond
 	// maxRoomWait bounds the wait of a free endpoint for room.
-	maxRoomWait = 100 * time.Millisecond
-	// fullCall is the part of a batch from which a call counts as full.
-	fullCall = 0.4
+	maxRoomWait = 150 * time.Millisecond
+	// roomPatience is the part of the wait at which a full call would only be as
+	// good as the call that can be made now.
+	roomPatience = 0.5
 	// slowWeight is the weight of the newest call in that ratio.
 	slowWeight = 0.5
 )
@@ -256,10 +257,10 @@
 // to be freed: a call costs as much whether it is full or not, and with a full
 // call's pieces waiting the room that is left would make it a small one.
 func (q *Queue) awaitsRoom(now time.Time, e *endpoint) bool {
-	if now.Sub(e.idleSince) > maxRoomWait || len(e.held) == 0 {
+	if len(e.held) == 0 {
 		return false
 	}
-	batch := q.service.Stages.Batch
+	limits := q.service.Stages
 	waiting, bytes := 0, int64(0)
 	for _, p := range q.jobs {
 		if !p.Bound || p.Zone == "" || p.Zone == e.Zone {
@@ -267,10 +268,19 @@
 			bytes += int64(len(p.todo)) * p.ResultBytes
 		}
 	}
-	if waiting < batch || bytes == 0 {
+	if waiting < limits.Batch || bytes == 0 {
+		return false
+	}
+	fit := int(float64(e.room()) / (float64(bytes) / float64(waiting)))
+	if fit >= limits.Batch {
 		return false
 	}
-	return float64(e.room())/(float64(bytes)/float64(waiting)) < fullCall*float64(batch)
+	wait := maxRoomWait
+	if fit > 0 {
+		even := time.Duration(limits.Batch)*WorkTime(limits, fit)/time.Duration(fit) - WorkTime(limits, limits.Batch)
+		wait = min(wait, time.Duration(roomPatience*float64(even)))
+	}
+	return now.Sub(e.idleSince) < wait
 }
 
 // order sorts the jobs: those begun first, then those in time by due time,
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"time"
 
@@ -133,7 +134,11 @@
 	for try := range maxPlanTries {
 		g := &graph{Plan: p, desk: d, try: try, left: left, made: make([]made, len(p.Stages)), done: make([]chan struct{}, len(p.Stages))}
 		if err = g.run(ctx); err == nil {
-			d.observe(p, forecast, d.clock.Now().Sub(began))
+			took := d.clock.Now().Sub(began)
+			d.observe(p, forecast, took)
+			d.log.Info("stages made", slog.String("request", p.Request), slog.String("zone", p.Zone), slog.Bool("admitted_late", p.late),
+				slog.Int64("forecast_ms", forecast.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
+				slog.Int64("due_in_ms", p.Due.Sub(d.clock.Now()).Milliseconds()), slog.Any("waits_ms", g.waits()))
 			return g.results(), nil
 		}
 		if ctx.Err() != nil {
@@ -283,6 +288,15 @@
 	return gather.WorkTime(service.Stages, max(s.Pieces, int(full*float64(service.Stages.Batch))))
 }
 
+// waits returns how long the first piece of each stage waited for its call, in ms.
+func (g *graph) waits() []int64 {
+	out := make([]int64, len(g.made))
+	for i, m := range g.made {
+		out[i] = m.wait.Milliseconds()
+	}
+	return out
+}
+
 func (g *graph) results() Results {
 	out := Results{Keeper: g.desk.self}
 	most := int64(-1)
