Run on the platform from the one daemon; bound bodies and channels

Cause: two daemons stood side by side; bodies of callers were bounded one by one only; idle channels to small endpoints could pass what they take.

--- a/cmd/pimentorilld/main.go
+++ b/cmd/pimentorilld/main.go
@@ -21,14 +21,18 @@
 
 func main() {
 	file := flag.String("config", "", "file with the settings, YAML (required)")
+	onPlatform := flag.Bool("platform", false, "run on the users' platform, with the settings file that it names")
 	checkOnly := flag.Bool("check", false, "check the settings and exit")
 	flag.Usage = func() {
-		fmt.Fprintln(os.Stderr, "usage: pimentorilld -config FILE [-check]\n\nflags:")
+		fmt.Fprintln(os.Stderr, "usage: pimentorilld -config FILE [-check]\n       pimentorilld -platform [-check]\n\nflags:")
 		flag.PrintDefaults()
 		fmt.Fprintln(os.Stderr, "\nSIGTERM and SIGINT end it once the requests under way are answered.\nexit codes: 0 ended; 1 cannot run; 2 wrong settings; 3 requests were cut off at the drain time")
 	}
 	flag.Parse()
-	if *file == "" || flag.NArg() > 0 {
+	if *onPlatform && *file == "" && flag.NArg() == 0 {
+		os.Exit(runOnPlatform(*checkOnly))
+	}
+	if *file == "" || *onPlatform || flag.NArg() > 0 {
 		flag.Usage()
 		os.Exit(exitSettings)
 	}
--- a/cmd/pimentorill-edge/main.go
+++ b/cmd/pimentorilld/platform.go
@@ -1,5 +1,3 @@
-// Command pimentorill-edge is the daemon that runs on every entry host of the
-// users' platform.
 package main
 
 import (
@@ -16,69 +14,68 @@
 	"github.com/pimentorill/pimentorill/platform"
 )
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 // flushTime bounds the writing of the last log lines.
 const flushTime = 200 * time.Millisecond
 
-func main() {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+// runOnPlatform serves on the users' platform until the signal to end and
+// returns the exit code.
+func runOnPlatform(checkOnly bool) int {
+	s, err := platform.LoadSettings(platform.SettingsFile())
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pimentorill-edge:", err)
-		os.Exit(exitSettings)
+		fmt.Fprintln(os.Stderr, "pimentorilld:", err)
+		return exitSettings
 	}
-	if len(os.Args) > 1 && os.Args[1] == "check" {
+	if checkOnly {
 		fmt.Println("settings are valid")
-		return
+		return 0
 	}
-	os.Exit(run(s))
-}
-
-// run serves until the signal to end and returns the exit code.
-func run(s entry.Settings) int {
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close(flushTime)
 	log := logs.New(out)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	node, err := entry.Start(s, connect(s, log), log)
+	node, err := entry.Start(s, surroundings(s, log), log)
 	if err != nil {
 		log.Error("can't start", slog.Any("error", err))
 		return exitFailed
 	}
 	for got := range signals {
 		if got != syscall.SIGHUP {
+			log.Info("shutting down", slog.String("signal", got.String()))
 			break
 		}
 		reload(log)
 	}
-	node.Stop()
+	if node.Stop() > 0 {
+		return exitCutOff
+	}
 	return 0
 }
 
-// connect returns the host's surroundings.
-func connect(s entry.Settings, log *slog.Logger) entry.Platform {
+// surroundings connects the host to the platform.
+func surroundings(s entry.Settings, log *slog.Logger) entry.Platform {
 	return entry.Platform{
 		Feed:      platform.NewStore(s.Store),
 		Decoder:   platform.Decoder(),
 		OwnKeys:   platform.OwnKeys,
 		Endpoints: platform.NewEndpoints(),
 		Listen: func(server *exchange.Server) (entry.Front, error) {
-			return platform.Listen(s.Callers, s.Connections, server, log)
+			return platform.Listen(platform.FrontConfig{Address: s.Callers, Connections: s.Connections,
+				BodyBytes: s.MemoryBytes / bodyMemory}, server, log)
 		},
 		ServeReady: func(ready func() bool) (func(), error) { return platform.ServeReady(s.Ready, ready, log) },
 	}
 }
 
-// reload reads the settings again. Addresses hold until the next start.
+// bodyMemory is the part of the memory, one in so many, that bodies of requests
+// under way may take together.
+const bodyMemory = 8
+
+// reload checks the settings anew. Addresses and bounds hold until the next start.
 func reload(log *slog.Logger) {
-	if _, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+	if _, err := platform.LoadSettings(platform.SettingsFile()); err != nil {
 		log.Error("settings not reloaded", slog.Any("error", err))
 		return
 	}
-	log.Info("settings reloaded")
+	log.Info("settings read again; changes hold from the next start")
 }
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -211,6 +211,9 @@
 		if now.Before(s.downUntil) || !suspects && now.Before(s.suspectUntil) {
 			continue
 		}
+		if most := w.Service.MaxConnections; most > 0 && s.inFlight >= max(1, most/t.hosts) {
+			continue
+		}
 		if now.Before(s.coldUntil) && !t.coldRoom(s, w.Service, now) {
 			continue
 		}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -200,8 +200,8 @@
 
 // Stop ends the host: not ready at once; callers that still come are served
 // until they should have gone; then what is under way is finished, up to the
-// grace.
-func (n *Node) Stop() {
+// grace. It returns the number of requests cut off.
+func (n *Node) Stop() int {
 	began := time.Now()
 	n.mu.Lock()
 	n.stopping = true
@@ -219,6 +219,11 @@
 	cut := n.front.Busy()
 	n.front.Close()
 	n.cancel()
+	n.endReady()
 	n.tasks.Wait()
+	if err := n.metrics.Close(); err != nil {
+		n.log.Warn("metrics not closed", slog.Any("error", err))
+	}
 	n.log.Info("ended", slog.Int("requests_cut", cut))
+	return cut
 }
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -13,15 +13,46 @@
 // it wants: about what its prompt's shared parts take to be read anew.
 const detour = 150 * time.Millisecond
 
-// commitments counts by service and zone the pieces of plans under way that
-// are not made yet, those of stages to come included.
-type commitments map[string]map[string]int
+// levels is the number of urgencies that are told apart.
+const levels = 10
 
-func (c commitments) add(service, zone string, pieces int) {
+// commitments counts by service, zone and urgency the pieces of plans under way
+// that are not made yet, those of stages to come included.
+type commitments map[string]map[string]*[levels]int
+
+func (c commitments) add(service, zone string, urgency, pieces int) {
 	if c[service] == nil {
-		c[service] = make(map[string]int)
+		c[service] = make(map[string]*[levels]int)
+	}
+	if c[service][zone] == nil {
+		c[service][zone] = new([levels]int)
+	}
+	n := &c[service][zone][level(urgency)]
+	*n = max(0, *n+pieces)
+}
+
+func level(urgency int) int { return max(0, min(levels-1, urgency)) }
+
+// in returns the pieces committed to a service in a zone that go before work of
+// an urgency.
+func (c commitments) in(service, zone string, urgency int) int {
+	n := 0
+	if counts := c[service][zone]; counts != nil {
+		for _, pieces := range counts[:level(urgency)+1] {
+			n += pieces
+		}
 	}
-	c[service][zone] = max(0, c[service][zone]+pieces)
+	return n
+}
+
+// sum returns the pieces committed to a service in all zones that go before
+// work of an urgency.
+func (c commitments) sum(service string, urgency int) int {
+	n := 0
+	for zone := range c[service] {
+		n += c.in(service, zone, urgency)
+	}
+	return n
 }
 
 // drainTime is how long n pieces take at so many endpoints in full calls.
@@ -54,7 +85,7 @@
 			waits[e.Zone] += 0
 		}
 		for zone := range waits {
-			waits[zone] = max(waits[zone], drainTime(service.Stages, d.committed[s.Service][zone]+s.Pieces, count[zone]))
+			waits[zone] = max(waits[zone], drainTime(service.Stages, d.committed.in(s.Service, zone, p.Priority)+s.Pieces, count[zone]))
 		}
 	}
 	best := p.Zone
@@ -76,15 +107,6 @@
 	return best
 }
 
-// sum returns the pieces committed to a service.
-func (c commitments) sum(service string) int {
-	n := 0
-	for _, pieces := range c[service] {
-		n += pieces
-	}
-	return n
-}
-
 // commitmentsOf returns where a plan's pieces are counted.
 func (d *Desk) commitmentsOf(p *Plan) commitments {
 	if p.late {
@@ -96,7 +118,7 @@
 // commit counts a plan's pieces as work to come in its zone.
 func (d *Desk) commit(p *Plan) {
 	for _, s := range p.Stages {
-		d.commitmentsOf(p).add(s.Service, p.Zone, s.Pieces)
+		d.commitmentsOf(p).add(s.Service, p.Zone, p.Priority, s.Pieces)
 	}
 }
 
@@ -104,7 +126,7 @@
 func (d *Desk) releaseStage(p *Plan, left []int, stage int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.commitmentsOf(p).add(p.Stages[stage].Service, p.Zone, -left[stage])
+	d.commitmentsOf(p).add(p.Stages[stage].Service, p.Zone, p.Priority, -left[stage])
 	left[stage] = 0
 }
 
@@ -125,8 +147,8 @@
 	}
 	c := d.commitmentsOf(p)
 	for i, s := range p.Stages {
-		c.add(s.Service, p.Zone, -left[i])
-		c.add(s.Service, zone, left[i])
+		c.add(s.Service, p.Zone, p.Priority, -left[i])
+		c.add(s.Service, zone, p.Priority, left[i])
 	}
 	p.Zone = zone
 }
