Enter each attempt with a witness before it is sent

Cause: a host that died right after it alone saw a crash took the knowledge with it, and the request crashed a third endpoint. Change: another host, the same for all that send the request, keeps each attempt until it ends; one that has not ended and whose host does not answer makes the request a suspect.

--- /dev/null
+++ b/internal/core/suspect/witness.go
@@ -0,0 +1,124 @@
+package suspect
+
+import (
+	"context"
+	"time"
+)
+
+// A host that dies with what it alone saw can't tell of a crash. So each
+// attempt is entered with a witness, another host, before it is sent, and
+// taken out at its end. Who tries the request next hears from the witness of
+// an attempt that has not ended; if that attempt's host does not answer any
+// more, its endpoint is taken as dead and the request as a suspect.
+
+const (
+	// attemptLife is how long a witness keeps an attempt whose end it does not hear.
+	attemptLife = time.Minute
+	// maxKept bounds the attempts that a witness keeps.
+	maxKept = 8192
+)
+
+// Attempt is one attempt of a request as its witness knows it.
+type Attempt struct {
+	Print    Fingerprint `cbor:"1,keyasint"`
+	Host     string      `cbor:"2,keyasint"`
+	Endpoint string      `cbor:"3,keyasint"`
+	// Ended takes an attempt out.
+	Ended bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Witness reaches the other hosts about attempts. Its methods are called
+// without locks held.
+type Witness interface {
+	// Enter tells the request's witness of an attempt and returns the attempts
+	// of other hosts that have not ended. It waits a few milliseconds at most;
+	// without an answer nothing is known.
+	Enter(ctx context.Context, a Attempt) []Attempt
+	// Leave tells the witness that an attempt has ended. It does not wait.
+	Leave(a Attempt)
+	// Answers reports whether a host still answers.
+	Answers(ctx context.Context, host string) bool
+}
+
+// kept is an attempt with the time until which it is kept, in Unix milliseconds.
+type kept struct {
+	Attempt
+	until int64
+}
+
+// Keep takes in an attempt as a witness and returns those of other hosts with
+// the same request that have not ended.
+func (g *Guard) Keep(a Attempt) []Attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock.Now()
+	list := g.attempts[a.Print]
+	var others []Attempt
+	left := list[:0]
+	for _, k := range list {
+		if k.until <= now.UnixMilli() || k.Host == a.Host && k.Endpoint == a.Endpoint {
+			continue
+		}
+		left = append(left, k)
+		if k.Host != a.Host {
+			others = append(others, k.Attempt)
+		}
+	}
+	if !a.Ended && len(g.attempts) < maxKept {
+		left = append(left, kept{a, now.Add(attemptLife).UnixMilli()})
+	}
+	if len(left) == 0 {
+		delete(g.attempts, a.Print)
+	} else {
+		g.attempts[a.Print] = left
+	}
+	return others
+}
+
+// kept returns the attempts of other hosts that this one is the witness of.
+func (g *Guard) kept(f Fingerprint) []Attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock.Now().UnixMilli()
+	var out []Attempt
+	for _, k := range g.attempts[f] {
+		if k.until > now {
+			out = append(out, k.Attempt)
+		}
+	}
+	return out
+}
+
+// consult enters an attempt with its witness. It reports whether an earlier
+// attempt's host has died with what it saw: then the request is a suspect.
+func (g *Guard) consult(ctx context.Context, f Fingerprint, endpoint string) bool {
+	if g.cfg.Witness == nil {
+		return false
+	}
+	// This host may itself be the witness of the others.
+	earlier := append(g.kept(f), g.cfg.Witness.Enter(ctx, Attempt{Print: f, Host: g.cfg.Host, Endpoint: endpoint})...)
+	for _, a := range earlier {
+		if g.cfg.Witness.Answers(ctx, a.Host) {
+			continue
+		}
+		// Another host may have heard of it meanwhile, and be further on.
+		if g.lookup(f).State == Clear {
+			// When the endpoint died is not known, so no other death there is
+			// judged by it.
+			g.mark(Record{Print: f, State: Suspect}, suspectLife)
+		}
+		a.Ended = true
+		g.Keep(a)
+		g.cfg.Witness.Leave(a)
+		g.dismiss(f, endpoint)
+		return true
+	}
+	return false
+}
+
+// dismiss takes an attempt out at its witness.
+func (g *Guard) dismiss(f Fingerprint, endpoint string) {
+	if g.cfg.Witness != nil {
+		g.cfg.Witness.Leave(Attempt{Print: f, Host: g.cfg.Host, Endpoint: endpoint, Ended: true})
+	}
+}
