--- /dev/null
+++ b/internal/core/balance/balance_test.go
@@ -0,0 +1,154 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func newTable(clock *handClock, seed uint64) *Table {
+	return New("kranj", clock, rand.New(rand.NewPCG(seed, 1)), Limits{Overrun: 1.5, Slack: 5})
+}
+
+func engines(n int) []*catalog.Endpoint {
+	var list []*catalog.Endpoint
+	for i := range n {
+		list = append(list, &catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "pool", Slots: 64, Zone: []string{"kranj", "celje"}[i%2]})
+	}
+	return list
+}
+
+var pool = &catalog.Service{Name: "pool", WarmUp: 3 * time.Second, WarmUpRate: 11}
+
+// TestColdEndpointsAreNotOverrun sends through hosts that know nothing of each
+// other, some of them restarted, and counts what reaches a cold endpoint in
+// each second.
+func TestColdEndpointsAreNotOverrun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		clock := &handClock{now: time.Unix(100, 0)}
+		cold := &catalog.Endpoint{ID: "cold", Service: "pool", Slots: 64, Zone: "kranj", WarmUpLeft: time.Hour}
+		const hosts = 8
+		start := func(i int) *Table {
+			table := newTable(clock, uint64(i))
+			table.SetHosts(hosts + 2)
+			table.Known(cold, pool, true)
+			return table
+		}
+		fleet := make([]*Table, hosts)
+		for i := range fleet {
+			fleet[i] = start(i)
+		}
+		var sends []time.Time
+		restarts := 0
+		for range rapid.IntRange(50, 300).Draw(t, "wanted") {
+			clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			if restarts < 2 && rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				restarts++
+				fleet[i] = start(i)
+			}
+			if e := fleet[i].Pick([]*catalog.Endpoint{cold}, Work{Service: pool}); e != nil {
+				sends = append(sends, clock.now)
+				fleet[i].Done(e, Answered, nil)
+			}
+		}
+		for i, from := range sends {
+			n := 0
+			for _, at := range sends[i:] {
+				if at.Sub(from) < time.Second {
+					n++
+				}
+			}
+			is.True(float64(n) <= 11*1.5+5)
+		}
+	})
+}
+
+func TestAPromptGoesToTheSameEndpointFromEveryHost(t *testing.T) {
+	is := is.New(t)
+	clock := &handClock{now: time.Unix(0, 0)}
+	list := engines(9)
+	seen := make(map[string]bool)
+	for host := range 6 {
+		table := newTable(clock, uint64(host))
+		e := table.Pick(list, Work{Service: pool, CacheKey: "subject-7"})
+		seen[e.ID] = true
+	}
+	is.Equal(len(seen), 1)
+}
+
+func TestAHotPromptSpillsOver(t *testing.T) {
+	is := is.New(t)
+	table := newTable(&handClock{now: time.Unix(0, 0)}, 1)
+	list := engines(6)
+	loads := make(map[string]int)
+	for range 120 {
+		e := table.Pick(list, Work{Service: pool, CacheKey: "hot"})
+		loads[e.ID]++
+	}
+	for _, n := range loads {
+		is.True(n <= 20*13/10+8) // the mean of 20, 1.3 times, and the slack
+	}
+}
+
+func TestEndpointsAreLeftAloneAfterABreak(t *testing.T) {
+	is := is.New(t)
+	clock := &handClock{now: time.Unix(0, 0)}
+	table := newTable(clock, 1)
+	list := engines(1)
+	e := table.Pick(list, Work{Service: pool})
+	is.True(table.Done(e, Broken, nil))
+	is.Equal(table.Pick(list, Work{Service: pool}), nil)
+	clock.now = clock.now.Add(minDown)
+	is.True(table.Pick(list, Work{Service: pool}) != nil)
+}
+
+func TestEndpointsThatFailOftenAreTheLastChoice(t *testing.T) {
+	is := is.New(t)
+	table := newTable(&handClock{now: time.Unix(0, 0)}, 1)
+	list := engines(2)
+	for range failureLimit {
+		table.Noted(list[0], Failed)
+	}
+	for range 10 {
+		e := table.Pick(list, Work{Service: pool})
+		is.Equal(e.ID, "e1")
+		table.Done(e, Answered, nil)
+	}
+	is.Equal(table.Pick(list, Work{Service: pool, Avoid: map[string]bool{"e1": true}}).ID, "e0")
+}
+
+func TestOtherHostsLoadIsTakenFromReports(t *testing.T) {
+	is := is.New(t)
+	clock := &handClock{now: time.Unix(0, 0)}
+	table := newTable(clock, 1)
+	list := []*catalog.Endpoint{{ID: "a", Slots: 6, Zone: "kranj"}, {ID: "b", Slots: 6, Zone: "kranj"}}
+	plain := &catalog.Service{Name: "register"}
+	table.Pick([]*catalog.Endpoint{list[0]}, Work{Service: plain})
+	table.Done(list[0], Answered, &port.EndpointLoad{Running: 6, Waiting: 2, Slots: 6})
+	is.Equal(table.Pick(list, Work{Service: plain}).ID, "b")
+}
+
+func TestAHostKeepsToItsShareOfTheConnections(t *testing.T) {
+	is := is.New(t)
+	table := newTable(&handClock{now: time.Unix(0, 0)}, 1)
+	table.SetHosts(8)
+	small := &catalog.Service{Name: "dispatch", MaxConnections: 48}
+	list := engines(1)
+	for range 6 {
+		is.True(table.Pick(list, Work{Service: small}) != nil)
+	}
+	is.Equal(table.Pick(list, Work{Service: small}), nil)
+}
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -214,22 +214,3 @@
 	}
 	return ""
 }
-
-// LastStages returns the indexes of the stages that no other stage needs.
-func (r *Route) LastStages() []int {
-	needed := make([]bool, len(r.Stages))
-	for _, s := range r.Stages {
-		for _, a := range s.After {
-			if a >= 0 && a < len(needed) {
-				needed[a] = true
-			}
-		}
-	}
-	var last []int
-	for i, n := range needed {
-		if !n {
-			last = append(last, i)
-		}
-	}
-	return last
-}
--- /dev/null
+++ b/internal/core/gather/queue_test.go
@@ -0,0 +1,294 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// desk is a stage service as on the users' sheets: 10 pieces a call, room for
+// 14 results of 1.5 MB.
+func desk() *catalog.Service {
+	return &catalog.Service{Name: "hazard", Stages: &catalog.StageLimits{Concurrent: 1, Queued: 2, Batch: 10,
+		CallTime: 200 * time.Millisecond, PieceTime: 17 * time.Millisecond, RoomBytes: 22e6, ResultLife: 4 * time.Second}}
+}
+
+func servers(zones ...string) []*catalog.Endpoint {
+	var list []*catalog.Endpoint
+	for i, z := range zones {
+		list = append(list, &catalog.Endpoint{ID: fmt.Sprintf("s%d", i), Service: "hazard", Zone: z, Address: fmt.Sprintf("10.0.0.%d:80", i)})
+	}
+	return list
+}
+
+func newQueue(zones ...string) *Queue {
+	q := New(desk())
+	q.SetEndpoints(servers(zones...))
+	return q
+}
+
+func job(id string, pieces int, bytes int64) Job {
+	return Job{ID: id, Request: id, Pieces: pieces, ResultBytes: bytes, Key: "k", Due: epoch.Add(2 * time.Second), Last: epoch.Add(6 * time.Second)}
+}
+
+// answer makes all pieces of a call.
+func answer(c *Call) []port.PieceResult {
+	out := make([]port.PieceResult, len(c.Pieces))
+	for i, p := range c.Pieces {
+		out[i].Handle = fmt.Sprintf("%s/%s-%d-%d", c.Endpoint.Address, p.Request, p.Stage, p.Index)
+	}
+	return out
+}
+
+func TestJobsOfManyRequestsShareACall(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj", "kranj")
+	for i := range 4 {
+		q.Add(epoch, job(fmt.Sprint(i), 2, 8000))
+	}
+	calls := q.Next(epoch)
+	is.Equal(len(calls), 1)
+	is.Equal(len(calls[0].Pieces), 8)
+	done := q.Done(epoch.Add(300*time.Millisecond), calls[0], answer(calls[0]), nil, false)
+	is.Equal(len(done), 4)
+	is.Equal(done[0].Zone, "kranj")
+	is.Equal(len(done[0].Handles), 2)
+	is.Equal(q.Len(), 0)
+}
+
+func TestNoPieceIsStartedThatHasNoRoom(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	q.Add(epoch, job("a", 10, 1_500_000))
+	q.Add(epoch, job("b", 6, 1_500_000))
+	first := q.Next(epoch)
+	is.Equal(len(first[0].Pieces), 10)
+	now := epoch.Add(400 * time.Millisecond)
+	done := q.Done(now, first[0], answer(first[0]), nil, false)
+	is.Equal(len(q.Next(now)), 0) // 10 of 14 results lie there
+	freed := q.Free(done[0].Handles)
+	is.Equal(len(freed), 1)
+	is.Equal(len(q.Next(now)[0].Pieces), 6)
+}
+
+func TestResultsThatAreNotFreedLapse(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	q.Add(epoch, job("a", 10, 1_500_000))
+	c := q.Next(epoch)[0]
+	q.Done(epoch, c, answer(c), nil, false)
+	late := job("b", 10, 1_500_000)
+	late.Due, late.Last = epoch.Add(10*time.Second), epoch.Add(10*time.Second)
+	q.Add(epoch, late)
+	is.Equal(len(q.Next(epoch.Add(3900*time.Millisecond))), 0)
+	is.Equal(len(q.Next(epoch.Add(4*time.Second))), 1)
+}
+
+func TestRoomThatOthersTookIsLearned(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	q.Add(epoch, job("a", 4, 1_500_000))
+	c := q.Next(epoch)[0]
+	results := answer(c)
+	for i := range results {
+		results[i] = port.PieceResult{Failure: port.PieceNoRoom}
+	}
+	now := epoch.Add(200 * time.Millisecond)
+	is.Equal(len(q.Done(now, c, results, nil, false)), 0)
+	is.Equal(len(q.Next(now)), 0)
+	is.Equal(len(q.Next(now.Add(foreignHalf))[0].Pieces), 4) // half of it is believed freed
+}
+
+func TestHeavyInputsKeepAJobInTheirZoneWhileItIsInTime(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj", "celje")
+	q.Add(epoch, job("first", 10, 8000))
+	q.Add(epoch, job("second", 10, 8000))
+	calls := q.Next(epoch)
+	is.Equal(len(calls), 2)
+	q.Done(epoch, calls[1], answer(calls[1]), nil, false) // one zone is free, kranj is busy
+	busy := calls[0].Endpoint.Zone
+	bound := job("bound", 2, 8000)
+	bound.Zone, bound.Bound = busy, true
+	q.Add(epoch, bound)
+	is.Equal(len(q.Next(epoch)), 0)
+	pressing := job("pressing", 2, 8000)
+	pressing.Zone, pressing.Bound, pressing.Due = busy, true, epoch.Add(300*time.Millisecond)
+	q.Add(epoch, pressing)
+	crossing := q.Next(epoch)
+	is.Equal(len(crossing), 1)
+	is.Equal(crossing[0].Pieces[0].Request, "pressing")
+}
+
+func TestWhatCanBeInTimeGoesBeforeWhatCannot(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	missed := job("missed", 10, 8000)
+	missed.Due = epoch
+	q.Add(epoch, missed)
+	q.Add(epoch, job("in time", 10, 8000))
+	is.Equal(q.Next(epoch)[0].Pieces[0].Request, "in time")
+}
+
+func TestLateJobsGetNoMoreThanTheirShare(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	now := epoch
+	late, all := 0, 0
+	for i := range 400 {
+		old := job(fmt.Sprint("old", i), 10, 8000)
+		old.Due, old.Last = now.Add(-time.Second), now.Add(500*time.Millisecond)
+		young := job(fmt.Sprint("young", i), 10, 8000)
+		young.Due, young.Last = now.Add(3*time.Second), now.Add(6*time.Second)
+		q.Add(now, old)
+		q.Add(now, young)
+		for _, c := range q.Next(now) {
+			all++
+			if c.Pieces[0].Request[0] == 'o' {
+				late++
+			}
+			now = now.Add(100 * time.Millisecond)
+			done := q.Done(now, c, answer(c), nil, false)
+			q.Free(done[0].Handles)
+		}
+		q.Expire(now)
+	}
+	is.True(all == 400)
+	is.True(float64(late) <= (LateShare+0.05)*float64(all))
+	is.True(late > 0)
+}
+
+func TestAJobThatCannotBeDoneAnyMoreFails(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	q.Add(epoch, job("a", 2, 8000))
+	is.Equal(len(q.Expire(epoch)), 0)
+	done := q.Expire(epoch.Add(6 * time.Second))
+	is.Equal(len(done), 1)
+	is.Equal(done[0].Failure, port.PieceLate)
+}
+
+func TestAPieceIsGivenToEndpointsABoundedNumberOfTimes(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	j := job("a", 1, 8000)
+	j.Last = epoch.Add(time.Hour)
+	q.Add(epoch, j)
+	now, calls := epoch, 0
+	var done []Finished
+	for range 100 {
+		for _, c := range q.Next(now) {
+			calls++
+			done = append(done, q.Done(now, c, nil, errors.New("broke off"), false)...)
+		}
+		now = now.Add(maxDown)
+	}
+	is.Equal(calls, maxTries)
+	is.Equal(len(done), 1)
+	is.Equal(done[0].Failure, port.PieceError)
+}
+
+func TestWhatACancelledJobMadeIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	q.Add(epoch, job("a", 2, 8000))
+	c := q.Next(epoch)[0]
+	is.Equal(len(q.Cancel("a")), 0)
+	done := q.Done(epoch, c, answer(c), nil, false)
+	is.Equal(len(done), 1)
+	is.Equal(len(done[0].Handles), 2)
+	is.True(done[0].Failure != port.PieceMade)
+}
+
+// TestAnyHistory plays random jobs, answers, failures, cancels and changes of
+// the endpoints, and checks that each job ends once, that calls keep to the
+// batch and the concurrency, and that no endpoint is given more results than
+// it has room for.
+func TestAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		all := servers("kranj", "kranj", "celje")
+		q := New(desk())
+		q.SetEndpoints(all)
+		now := epoch
+		made, failed := make(map[string]int), make(map[string]int)
+		var running []*Call
+		held := make(map[string]int64)
+		size := make(map[string]int64)
+		added := 0
+		finish := func(list []Finished) {
+			for _, f := range list {
+				if f.Failure == port.PieceMade {
+					made[f.Job.ID]++
+					is.Equal(len(f.Handles), f.Job.Pieces)
+				} else {
+					failed[f.Job.ID]++
+				}
+				for e, handles := range q.Free(f.Handles) {
+					for _, h := range handles {
+						held[e.ID] -= size[h]
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 150).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				j := job(fmt.Sprint(added), rapid.IntRange(1, 14).Draw(t, "pieces"), rapid.SampledFrom([]int64{8000, 1_500_000}).Draw(t, "bytes"))
+				j.Due, j.Last = now.Add(time.Second), now.Add(5*time.Second)
+				added++
+				q.Add(now, j)
+			case 2:
+				if len(running) > 0 {
+					c := running[0]
+					running = running[1:]
+					if rapid.Bool().Draw(t, "fails") {
+						finish(q.Done(now, c, nil, errors.New("broke off"), true))
+						break
+					}
+					results := answer(c)
+					for i, r := range results {
+						size[r.Handle] = c.refs[i].job.ResultBytes
+						held[c.Endpoint.ID] += size[r.Handle]
+					}
+					is.True(held[c.Endpoint.ID] <= 22e6)
+					finish(q.Done(now, c, results, nil, false))
+				}
+			case 3:
+				if added > 0 {
+					if id := fmt.Sprint(rapid.IntRange(0, added-1).Draw(t, "cancel")); q.byID[id] != nil {
+						finish([]Finished{{Job: &Job{ID: "cancelled"}, Handles: q.Cancel(id), Failure: port.PieceLate}})
+					}
+				}
+			case 4:
+				q.SetEndpoints(all[:rapid.IntRange(1, 3).Draw(t, "endpoints")])
+			default:
+				finish(q.Expire(now))
+			}
+			for _, c := range q.Next(now) {
+				is.True(len(c.Pieces) > 0 && len(c.Pieces) <= 10)
+				running = append(running, c)
+			}
+			busy := make(map[string]int)
+			for _, c := range running {
+				busy[c.Endpoint.ID]++
+				is.True(busy[c.Endpoint.ID] <= 1)
+			}
+		}
+		for id, n := range made {
+			is.Equal(n, 1)
+			is.Equal(failed[id], 0)
+			is.True(q.byID[id] == nil)
+		}
+	})
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -59,6 +59,8 @@
 	Config *catalog.Config
 	// Usable holds by service the endpoints that may get new work.
 	Usable map[string][]*catalog.Endpoint
+	// Lifetimes holds all endpoints that are known, in use or not.
+	Lifetimes map[catalog.Lifetime]bool
 	// Evacuated holds the zones that are taken out.
 	Evacuated map[string]bool
 	Hosts     map[string]Host
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -227,10 +227,12 @@
 
 // snapshot returns the state for readers.
 func (s *state) snapshot() *Snapshot {
-	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint), Evacuated: maps.Clone(s.evacuated),
+	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
+		Lifetimes: make(map[catalog.Lifetime]bool, len(s.endpoints)), Evacuated: maps.Clone(s.evacuated),
 		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Revision: s.asOf}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
+		out.Lifetimes[e.Lifetime()] = true
 		if !e.Draining && !s.evacuated[e.Zone] {
 			out.Usable[e.Service] = append(out.Usable[e.Service], e.Endpoint)
 		}
