--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -83,6 +83,9 @@
 	mu       sync.Mutex
 	stopping bool
 	maxHosts int
+
+	stopOnce sync.Once
+	cut      int
 }
 
 // Start serves on the settings' addresses. Stop ends it.
@@ -201,8 +204,14 @@
 
 // Stop ends the host: not ready at once; callers that still come are served
 // until they should have gone; then what is under way is finished, up to the
-// grace. It returns the number of requests cut off.
+// grace. It returns the number of requests cut off. Calls after the first one
+// return the same.
 func (n *Node) Stop() int {
+	n.stopOnce.Do(func() { n.cut = n.stop() })
+	return n.cut
+}
+
+func (n *Node) stop() int {
 	began := time.Now()
 	n.mu.Lock()
 	n.stopping = true
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -93,6 +93,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for hosts")
 	}
+	// Port 0 takes any that is free.
+	cfg.Self.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{cfg: cfg, ctx: ctx, cancel: cancel, listener: l, handlers: make(map[string]port.RequestHandler),
 		suspects: make(map[string]bool), asking: make(map[string]*asked)}
