Refuse requests that crash three endpoints, on all hosts

Cause: a request that crashes the server that runs it could go on reaching servers, through any host. Change: hosts tell the oldest one of each connection that broke under a request; at the third endpoint it enters the request in the store, and all hosts refuse it while the entry stands.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/exchange"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/peering"
@@ -106,11 +107,12 @@
 	}
 	n.group = group
 	sharing := &factSharing{group: group}
-	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log, Ask: sharing.ask})
+	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
+		Refusal: crashing.Refused, Ask: sharing.ask})
 	sharing.answer(n.facts)
 	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
-		Stages: stagework.NewMaker(group, n.desk, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
+		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
 		cancel()
 		return nil, err
--- a/internal/exchange/deliver.go
+++ b/internal/exchange/deliver.go
@@ -114,7 +114,11 @@
 	if err != nil && verdict.Of(err) != verdict.NotRun {
 		r.ran++
 	}
-	r.cfg.Table.Done(e, r.outcome(parent, err), load)
+	o := r.outcome(parent, err)
+	if o == balance.Broken && verdict.Of(err) != verdict.NotRun {
+		r.cfg.Crashes.Crashed(r.x, e.ID)
+	}
+	r.cfg.Table.Done(e, o, load)
 	return err
 }
 
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -16,6 +16,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
@@ -37,6 +38,7 @@
 	Retries   *quota.Retries
 	Endpoints port.Endpoints
 	Stages    *stagework.Maker
+	Crashes   *crashing.List
 	Clock     port.Clock
 	Rand      *rand.Rand
 	Log       *slog.Logger
@@ -147,6 +149,9 @@
 	if r.service == nil {
 		return verdict.New(verdict.CodeNotReady, verdict.NotRun, "service is not known").WithRetryAfter(notReadyRetry)
 	}
+	if len(r.facts.Refused) > 0 && r.facts.Refused[crashing.Print(r.x).String()] {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "request crashed several endpoints")
+	}
 	r.deadline = r.x.Received.Add(allowed(r.route.Timeout, r.x.Allowance))
 	return nil
 }
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -64,6 +64,8 @@
 	// Evacuated holds the zones that are taken out.
 	Evacuated map[string]bool
 	Hosts     map[string]Host
+	// Refused holds the fingerprints of requests that crash endpoints.
+	Refused map[string]bool
 	// ConfirmedAt is when the store, or a host that it answers, last said that
 	// this is the newest.
 	ConfirmedAt time.Time
@@ -105,6 +107,8 @@
 	Observer Observer
 	Clock    port.Clock
 	Log      *slog.Logger
+	// Refusal returns the fingerprint that a key refuses; nil if there are none.
+	Refusal func(key string) (print string, ok bool)
 	// Ask may be nil.
 	Ask Asker
 }
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -27,6 +27,7 @@
 	// hostsGone holds the hosts whose entry lapsed while the store was away,
 	// with the time from which they count as gone.
 	hostsGone map[string]time.Time
+	refused   map[string]bool
 }
 
 // known is an endpoint with the time from which it counts as gone.
@@ -37,7 +38,8 @@
 
 func newState() *state {
 	return &state{evacuated: make(map[string]bool), endpoints: make(map[string]*known), hosts: make(map[string]Host),
-		items: make(map[string]port.FeedItem), unreadable: make(map[string]bool), hostsGone: make(map[string]time.Time)}
+		items: make(map[string]port.FeedItem), unreadable: make(map[string]bool), hostsGone: make(map[string]time.Time),
+		refused: make(map[string]bool)}
 }
 
 // apply takes in what the follower or another host said.
@@ -99,10 +101,22 @@
 	case port.FactEndpoint:
 		s.putEndpoint(cfg, item, live)
 	default:
+		if print, ok := cfg.refusal(item.Key); ok {
+			s.refused[print] = true
+			return
+		}
 		s.putHost(cfg, item)
 	}
 }
 
+// refusal returns the fingerprint that a key refuses.
+func (cfg Config) refusal(key string) (string, bool) {
+	if cfg.Refusal == nil {
+		return "", false
+	}
+	return cfg.Refusal(key)
+}
+
 func (s *state) putConfig(cfg Config, item port.FeedItem) {
 	c, err := cfg.Decoder.Config(item.Value)
 	if err != nil {
@@ -171,6 +185,9 @@
 		s.dropEndpoint(key, cfg.Log)
 	case port.FactOther:
 		delete(s.hosts, key)
+		if print, ok := cfg.refusal(key); ok {
+			delete(s.refused, print)
+		}
 	}
 }
 
@@ -228,7 +245,7 @@
 // snapshot returns the state for readers.
 func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
-		Lifetimes: make(map[catalog.Lifetime]bool, len(s.endpoints)), Evacuated: maps.Clone(s.evacuated),
+		Lifetimes: make(map[catalog.Lifetime]bool, len(s.endpoints)), Evacuated: maps.Clone(s.evacuated), Refused: maps.Clone(s.refused),
 		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Revision: s.asOf}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
