--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -35,6 +35,9 @@
 	// stopped answering.
 	pingInterval = 250 * time.Millisecond
 	pingTimeout  = 400 * time.Millisecond
+	// suspectedTogether bounds the hosts that are looked at when one does not
+	// answer.
+	suspectedTogether = 8
 	// probeInterval is how often a host that did not answer is asked again.
 	probeInterval = 500 * time.Millisecond
 	// keyBytes is the size of the key that the hosts share.
@@ -70,7 +73,7 @@
 	cancel context.CancelFunc
 
 	mu   sync.Mutex
-	link *peer.Link
+	link link
 	// suspects holds the hosts that did not answer; each is probed until it does.
 	suspects map[string]bool
 	// asking holds the hosts with questions under way.
@@ -80,6 +83,12 @@
 	leaving         bool
 }
 
+// link carries questions to addresses; *peer.Link is one.
+type link interface {
+	Ask(ctx context.Context, address, kind string, payload []byte) ([]byte, error)
+	Reset(address string)
+}
+
 // asked is a host with questions under way; its context ends when it stops answering.
 type asked struct {
 	ctx    context.Context
@@ -344,7 +353,7 @@
 	return answer, err
 }
 
-func (g *Group) begin(id string) (*asked, *peer.Link) {
+func (g *Group) begin(id string) (*asked, link) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.asking[id]
@@ -403,6 +412,24 @@
 	}
 	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
 	go g.probe(id)
+	// Hosts are often cut off together; those that may be asked next are looked
+	// at in the same moment, not one after the other.
+	for _, next := range g.Elders()[:min(len(g.Elders()), suspectedTogether)] {
+		if next != g.cfg.Self.ID {
+			go g.check(next)
+		}
+	}
+}
+
+// check suspects a host that does not answer a ping.
+func (g *Group) check(id string) {
+	host, known := g.cfg.Hosts()[id]
+	if !known {
+		return
+	}
+	if err := g.ping(g.ctx, host.Address); err != nil && g.ctx.Err() == nil {
+		g.suspect(id, err)
+	}
 }
 
 func (g *Group) probe(id string) {
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,121 @@
+package peering
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+// silent is a link on which some hosts do not answer.
+type silent struct {
+	mu    sync.Mutex
+	quiet map[string]bool
+	reset []string
+}
+
+func (s *silent) Ask(ctx context.Context, address, _ string, _ []byte) ([]byte, error) {
+	s.mu.Lock()
+	quiet := s.quiet[address]
+	s.mu.Unlock()
+	if quiet {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	select {
+	case <-time.After(time.Millisecond):
+		return []byte{1}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *silent) Reset(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reset = append(s.reset, address)
+}
+
+func (s *silent) set(quiet bool, addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range addresses {
+		s.quiet[a] = quiet
+	}
+}
+
+func newGroup(link *silent) *Group {
+	hosts := make(map[string]facts.Host)
+	for i, id := range []string{"a", "b", "c", "d", "e"} {
+		hosts[id] = facts.Host{ID: id, Address: id, Started: int64(i)}
+	}
+	g := &Group{cfg: Config{Self: hosts["e"], Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler), Hosts: func() map[string]facts.Host { return hosts }},
+		suspects: make(map[string]bool), asking: make(map[string]*asked), link: link}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	return g
+}
+
+func TestHostsThatAreCutOffTogetherAreSuspectedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := &silent{quiet: make(map[string]bool)}
+		g := newGroup(link)
+		defer func() { g.cancel(); synctest.Wait() }()
+		is.Equal(g.Elders(), []string{"a", "b", "c", "d", "e"})
+		link.set(true, "a", "b", "c", "d")
+		began := time.Now()
+		_, err := g.Ask(context.Background(), "a", "work", nil)
+		is.True(err != nil)
+		is.True(time.Since(began) <= pingInterval+pingTimeout+time.Millisecond)
+		<-time.After(pingTimeout + time.Millisecond)
+		synctest.Wait()
+		is.Equal(g.Elders(), []string{"e"})
+		is.Equal(g.Reach(), 0.2)
+	})
+}
+
+func TestASuspectedHostIsBackOnceItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := &silent{quiet: make(map[string]bool)}
+		g := newGroup(link)
+		defer func() { g.cancel(); synctest.Wait() }()
+		link.set(true, "a")
+		_, err := g.Ask(context.Background(), "a", "work", nil)
+		is.True(err != nil)
+		is.Equal(g.Elders()[0], "b")
+		link.set(false, "a")
+		<-time.After(probeInterval + pingTimeout)
+		synctest.Wait()
+		is.Equal(g.Elders()[0], "a")
+		is.True(len(link.reset) > 0)
+	})
+}
+
+func TestACallerThatGivesUpSuspectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := &silent{quiet: map[string]bool{"a": true}}
+		g := newGroup(link)
+		defer func() { g.cancel(); synctest.Wait() }()
+		ctx, cancel := context.WithTimeout(context.Background(), pingInterval/2)
+		defer cancel()
+		_, err := g.Ask(ctx, "a", "work", nil)
+		is.True(err != nil)
+		is.Equal(len(g.Others()), 4)
+	})
+}
+
+func TestAHostThatLeavesTakesOverNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(&silent{})
+	g.leaving = true
+	is.Equal(g.Elders(), []string{"a", "b", "c", "d"})
+}
