Give slow stage endpoints only what they do in time

Change: a job in time is not given to an endpoint that would make it late; forecasts count endpoints by their speed.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -190,6 +190,34 @@
 	return out
 }
 
+// workTime returns how long a call with n pieces takes at the endpoint.
+func (e *endpoint) workTime(n int) time.Duration {
+	return time.Duration(max(1, e.ratio) * float64(WorkTime(e.limits, n)))
+}
+
+// Speed returns how many endpoints at full speed those of a zone are worth, of
+// all zones if it is empty.
+func (q *Queue) Speed(now time.Time, zone string) float64 {
+	sum := 0.0
+	for _, e := range q.endpoints {
+		if e.usable && !now.Before(e.downUntil) && (zone == "" || e.Zone == zone) {
+			sum += 1 / max(1, e.ratio)
+		}
+	}
+	return sum
+}
+
+// Zones returns the zones that have endpoints to call, in no order.
+func (q *Queue) Zones() []string {
+	var zones []string
+	for _, e := range q.endpoints {
+		if e.usable && !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	return zones
+}
+
 // Usable returns the number of endpoints that may be called.
 func (q *Queue) Usable() int {
 	n := 0
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -335,6 +335,10 @@
 		if n >= batch || n > 0 && batch-n < len(p.todo) || !e.fits(p, q.service.Stages) {
 			continue
 		}
+		if e.ratio > slowRatio && !p.late && now.Add(e.workTime(len(p.todo))).After(p.Due) {
+			// A slow endpoint would make it late; another may come free in time.
+			continue
+		}
 		if p.Bound && p.Zone != "" && e.Zone != p.Zone && q.worthWaiting(now, p) {
 			continue
 		}
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -129,6 +129,27 @@
 	is.Equal(crossing[0].Pieces[0].Request, "pressing")
 }
 
+func TestASlowEndpointGetsOnlyWhatItDoesInTime(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	now := epoch
+	for i := range 4 { // calls that take four times as long as they should
+		q.Add(now, job(fmt.Sprint("old", i), 1, 8000))
+		c := q.Next(now)[0]
+		now = now.Add(900 * time.Millisecond)
+		q.Done(now, c, answer(c), nil, false)
+	}
+	is.True(q.Speed(now, "") < 0.3)
+	tight := job("tight", 1, 8000)
+	tight.Due = now.Add(500 * time.Millisecond)
+	q.Add(now, tight)
+	is.Equal(len(q.Next(now)), 0)
+	loose := job("loose", 1, 8000)
+	loose.Due = now.Add(3 * time.Second)
+	q.Add(now, loose)
+	is.Equal(q.Next(now)[0].Pieces[0].Request, "loose")
+}
+
 func TestWhatCanBeInTimeGoesBeforeWhatCannot(t *testing.T) {
 	is := is.New(t)
 	q := newQueue("kranj")
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -82,7 +82,7 @@
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		behind := drainTime(q.Limits(), int(weight*float64(c.sum(s.Service, p.Priority))), q.Usable())
+		behind := drainTime(q.Limits(), int(weight*float64(c.sum(s.Service, p.Priority))), q.Speed(d.clock.Now(), ""))
 		ends[i] = max(ends[i], behind) + hopTime + gather.WorkTime(q.Limits(), s.Pieces)
 		total = max(total, ends[i])
 	}
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -55,13 +55,14 @@
 	return n
 }
 
-// drainTime is how long n pieces take at so many endpoints in full calls.
-func drainTime(limits *catalog.StageLimits, n, endpoints int) time.Duration {
-	if endpoints == 0 {
+// drainTime is how long n pieces take in full calls at endpoints that together
+// are as fast as so many.
+func drainTime(limits *catalog.StageLimits, n int, speed float64) time.Duration {
+	if speed <= 0 {
 		return never
 	}
 	perPiece := limits.CallTime/time.Duration(limits.Batch) + limits.PieceTime
-	return time.Duration(n) * perPiece / time.Duration(endpoints*limits.Concurrent)
+	return time.Duration(float64(n) * float64(perPiece) / (speed * float64(limits.Concurrent)))
 }
 
 // never is longer than any request waits.
@@ -72,20 +73,17 @@
 // is held.
 func (d *Desk) zoneFor(p *Plan) string {
 	waits := make(map[string]time.Duration)
+	now := d.clock.Now()
 	for _, s := range p.Stages {
-		service, endpoints := d.catalogue(s.Service)
-		if s.Pieces == 0 || service == nil || service.Stages == nil {
+		q, err := d.queue(s.Service)
+		if s.Pieces == 0 || err != nil {
 			continue
 		}
-		count := make(map[string]int)
-		for _, e := range endpoints {
-			count[e.Zone]++
-		}
-		for _, e := range endpoints {
-			waits[e.Zone] += 0
+		for _, zone := range q.Zones() {
+			waits[zone] += 0
 		}
 		for zone := range waits {
-			waits[zone] = max(waits[zone], drainTime(service.Stages, d.committed.in(s.Service, zone, p.Priority)+s.Pieces, count[zone]))
+			waits[zone] = max(waits[zone], drainTime(q.Limits(), d.committed.in(s.Service, zone, p.Priority)+s.Pieces, q.Speed(now, zone)))
 		}
 	}
 	best := p.Zone
@@ -188,7 +186,7 @@
 // endpoints do soon. d.mu is held.
 func (d *Desk) crowded(p *Plan, stages []int) bool {
 	for _, i := range stages {
-		if q := d.queues[p.Stages[i].Service]; q != nil && drainTime(q.Limits(), q.Waiting(), q.Usable()) > crowdedTime {
+		if q := d.queues[p.Stages[i].Service]; q != nil && drainTime(q.Limits(), q.Waiting(), q.Speed(d.clock.Now(), "")) > crowdedTime {
 			return true
 		}
 	}
