--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -9,9 +9,13 @@
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 )
 
-// detour is the difference of the wait for which a plan leaves the zone that
-// it wants: about what its prompt's shared parts take to be read anew.
-const detour = 150 * time.Millisecond
+const (
+	// detour is the difference of the wait for which a plan leaves the zone that
+	// it wants; longDetour that of one whose prompt's shared parts, thousands of
+	// tokens, would be read anew elsewhere.
+	detour     = 100 * time.Millisecond
+	longDetour = 450 * time.Millisecond
+)
 
 // levels is the number of urgencies that are told apart.
 const levels = 10
@@ -97,6 +101,9 @@
 		margin := time.Duration(0)
 		if best == p.Zone {
 			margin = detour
+			if p.Bound {
+				margin = longDetour
+			}
 		}
 		if !known || waits[z]+margin < current {
 			best = z
