--- a/Makefile
+++ b/Makefile
@@ -10,14 +10,16 @@
 test: fmt lint check-imports unit
 
 fmt:
-	@bad=$$(gofmt -l cmd internal bench 2>/dev/null); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+	@bad=$$(gofmt -l cmd internal platform bench docs 2>/dev/null); if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
 
 lint:
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# check-imports fails if the core imports outward.
+# check-imports fails if the core imports outward, or the product the platform.
 check-imports:
+	@bad=$$(grep -rnE '"[^"]*pimentorill/platform' internal --include='*.go' || true); \
+	if [ -n "$$bad" ]; then echo "the product imports the platform: $$bad"; exit 1; fi
 	@bad=$$(grep -rnE '"[^"]*internal/(adapter|app|standin)' internal/core --include='*.go' || true); \
 	if [ -n "$$bad" ]; then echo "core imports outward: $$bad"; exit 1; fi
 
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -37,7 +37,7 @@
 func TestPagesNameTestsThatExist(t *testing.T) {
 	is := is.New(t)
 	var code strings.Builder
-	for _, root := range []string{"../internal", "../bench"} {
+	for _, root := range []string{"../internal", "../bench", "../platform"} {
 		walk(t, root, "_test.go", func(_, text string) { code.WriteString(text) })
 	}
 	page, err := os.ReadFile("promises.md")
--- a/internal/exchange/deliver.go
+++ b/internal/exchange/deliver.go
@@ -51,7 +51,9 @@
 		if ctx.Err() != nil {
 			return r.giveUp(nil, verdict.Wrap(ctx.Err(), verdict.CodeDeadline, verdict.MayHaveRun, "no answer in time"))
 		}
-		if !r.mayRepeat(err) {
+		repeats := r.mayRepeat(err)
+		r.noteAttempt(e, err, repeats)
+		if !repeats {
 			return r.giveUp(last, nil)
 		}
 		if err := r.remake(ctx, err); err != nil {
--- a/internal/exchange/trace.go
+++ b/internal/exchange/trace.go
@@ -1,9 +1,12 @@
 package exchange
 
 import (
+	"context"
 	"log/slog"
+	"strconv"
 	"time"
 
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 )
 
@@ -19,6 +22,17 @@
 	resumed    int
 }
 
+// noteAttempt writes a failed attempt's line.
+func (r *run) noteAttempt(e *catalog.Endpoint, err error, repeats bool) {
+	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", slog.String("request", r.x.ID), slog.String("endpoint", e.ID),
+		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.sends), slog.Int("ran", r.ran),
+		slog.String("resume_from", r.stream.lastID), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
+		slog.Bool("left_alone", r.cfg.Table.Down(e)), slog.Bool("repeats", repeats))
+	if r.cfg.Metrics != nil {
+		r.cfg.Metrics.Tagged(map[string]string{"repeats": strconv.FormatBool(repeats)}).Counter("attempts_failed_total").Inc(1)
+	}
+}
+
 // note writes the exchange's line and counts it.
 func (r *run) note(err error) {
 	took := r.cfg.Clock.Now().Sub(r.x.Received)
@@ -56,7 +70,7 @@
 			slog.Int64("retry_after_ms", e.RetryAfter.Milliseconds()))
 	}
 	attrs = append(attrs, slog.String("outcome", outcome))
-	r.cfg.Log.LogAttrs(nil, level, "exchange", attrs...)
+	r.cfg.Log.LogAttrs(context.Background(), level, "exchange", attrs...)
 	r.count(outcome, took)
 }
 
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/gather"
@@ -56,6 +57,9 @@
 		left = time.Duration(firstPart * float64(left))
 	}
 	if expected := time.Duration(d.slowness * float64(forecast)); expected > left {
+		d.log.Info("stages refused", slog.String("request", p.Request), slog.Int64("expected_ms", expected.Milliseconds()),
+			slog.Int64("left_ms", left.Milliseconds()), slog.Float64("slowness", d.slowness), slog.Bool("returned", p.Returned),
+			slog.Any("waiting", d.waiting(p)))
 		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
 			WithRetryAfter(min(longRetry, max(shortRetry, expected-left)))
 	}
@@ -63,6 +67,17 @@
 	return nil
 }
 
+// waiting returns the pieces that wait at each of a plan's stages.
+func (d *Desk) waiting(p *Plan) []int {
+	out := make([]int, len(p.Stages))
+	for i, s := range p.Stages {
+		if q := d.queues[s.Service]; q != nil {
+			out[i] = q.Waiting()
+		}
+	}
+	return out
+}
+
 // forecast returns how long a plan takes behind some commitments, if calls are
 // full. weight multiplies them. d.mu is held.
 func (d *Desk) forecast(p *Plan, c commitments, weight float64) (time.Duration, error) {
