--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -45,7 +45,7 @@
 	}
 	switch length := resp.Header.ContentLength(); length {
 	case lengthChunked:
-		resp.SetBodyStream(&chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}, -1)
+		resp.SetBodyStream(ChunkedBody(r), -1)
 	case lengthUntilClose:
 		resp.SetBodyStream(r, -1)
 		resp.SetConnectionClose()
@@ -73,6 +73,15 @@
 	return n, err
 }
 
+// ChunkedBody returns a reader of a body in chunks. It ends with io.EOF after
+// the trailer, which it leaves out, and with ErrMalformed for what is no chunk.
+func ChunkedBody(r *bufio.Reader) io.Reader {
+	return &chunkedBody{r: r, chunks: httputil.NewChunkedReader(r)}
+}
+
+// ErrMalformed means that a body in chunks can't be read.
+var ErrMalformed = errors.New("chunk or trailer is malformed")
+
 // chunkedBody reads a body in chunks with its trailer.
 type chunkedBody struct {
 	r      *bufio.Reader
@@ -86,8 +95,12 @@
 		return 0, b.err
 	}
 	n, err := b.chunks.Read(p)
-	if err == io.EOF {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case err == io.EOF:
 		err = b.skipTrailer()
+	case err != nil && err != io.ErrUnexpectedEOF && !errors.As(err, &timeout):
+		err = errors.Wrapf(ErrMalformed, "%v", err)
 	}
 	b.err = err
 	return n, err
@@ -105,5 +118,5 @@
 		}
 		left -= len(line)
 	}
-	return errors.New("trailer too large")
+	return errors.Wrap(ErrMalformed, "trailer too large")
 }
