Keep requests to the regions that route and customer allow

Cause: allowed regions were decoded and not used; some decoded fields had no reader. Change: endpoints are chosen within both lists; what nothing reads is gone.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -314,13 +314,6 @@
 	return t.take(s, o, load)
 }
 
-// Noted takes in an outcome of a call that Pick did not count.
-func (t *Table) Noted(e *catalog.Endpoint, o Outcome) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.take(t.of(e), o, nil)
-}
-
 func (t *Table) take(s *state, o Outcome, load *port.EndpointLoad) bool {
 	now := t.clock.Now()
 	if load != nil {
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -120,7 +120,7 @@
 	table := newTable(&handClock{now: time.Unix(0, 0)}, 1)
 	list := engines(2)
 	for range failureLimit {
-		table.Noted(list[0], Failed)
+		table.Done(list[0], Failed, nil)
 	}
 	for range 10 {
 		e := table.Pick(list, Work{Service: pool})
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -85,7 +85,6 @@
 // Service is a group of equal endpoints.
 type Service struct {
 	Name           string
-	HealthPath     string
 	MaxConnections int
 	// WarmUp is how long an endpoint stays cold after its start.
 	WarmUp time.Duration
@@ -93,14 +92,12 @@
 	WarmUpRate float64
 	// Stages is set for services that work on pieces.
 	Stages *StageLimits
-	// Engine is set for services that generate.
-	Engine *EngineLimits
 }
 
 // StageLimits are the limits of one endpoint that works on pieces.
 type StageLimits struct {
-	// Concurrent and Queued bound the calls in progress and waiting.
-	Concurrent, Queued int
+	// Concurrent bounds the calls in progress.
+	Concurrent int
 	// Batch is the largest number of pieces in a call.
 	Batch int
 	// CallTime and PieceTime are the approximate cost of a call and of each piece.
@@ -111,12 +108,6 @@
 	ResultLife time.Duration
 }
 
-// EngineLimits are the limits of one engine.
-type EngineLimits struct {
-	Slots       int
-	CacheTokens int64
-}
-
 // Customer is a customer with its keys.
 type Customer struct {
 	Name string
@@ -124,6 +115,8 @@
 	// Priority replaces the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions holds the only regions allowed; empty allows all.
+	Regions []string
 }
 
 // Limits bound what callers may send.
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -18,7 +18,7 @@
 // desk is a stage service as on the users' sheets: 10 pieces a call, room for
 // 14 results of 1.5 MB.
 func desk() *catalog.Service {
-	return &catalog.Service{Name: "hazard", Stages: &catalog.StageLimits{Concurrent: 1, Queued: 2, Batch: 10,
+	return &catalog.Service{Name: "hazard", Stages: &catalog.StageLimits{Concurrent: 1, Batch: 10,
 		CallTime: 200 * time.Millisecond, PieceTime: 17 * time.Millisecond, RoomBytes: 22e6, ResultLife: 4 * time.Second}}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -112,7 +112,8 @@
 	sharing.answer(n.facts)
 	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
-		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Clock: clock, Rand: newRand(), Log: log, Metrics: n.metrics.Scope})
+		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Clock: clock, Rand: newRand(), Log: log,
+		Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
 		cancel()
 		return nil, err
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -17,8 +17,6 @@
 	Connections int
 	// Grace is the time between the signal to end and the end.
 	Grace time.Duration
-	// ConfigAge is within what time a configuration is in force.
-	ConfigAge time.Duration
 	// RetryShare, RetrySlack and RetryWindow bound what all hosts send again.
 	RetryShare, RetrySlack float64
 	RetryWindow            time.Duration
--- a/internal/exchange/deliver.go
+++ b/internal/exchange/deliver.go
@@ -39,7 +39,7 @@
 func (r *run) deliver(ctx context.Context) error {
 	var last error
 	for {
-		e := r.cfg.Table.Pick(r.cfg.Facts().Usable[r.service.Name], r.work(r.zone))
+		e := r.cfg.Table.Pick(r.usable(), r.work(r.zone))
 		if e == nil {
 			return r.giveUp(last, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint is free").WithRetryAfter(busyRetry))
 		}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,10 +40,12 @@
 	Endpoints port.Endpoints
 	Stages    *stagework.Maker
 	Crashes   *crashing.List
-	Clock     port.Clock
-	Rand      *rand.Rand
-	Log       *slog.Logger
-	Metrics   tally.Scope
+	// Regions holds the region of each zone.
+	Regions map[string]string
+	Clock   port.Clock
+	Rand    *rand.Rand
+	Log     *slog.Logger
+	Metrics tally.Scope
 }
 
 // Server answers exchanges. It is safe for concurrent use.
@@ -97,6 +100,8 @@
 	route    *catalog.Route
 	service  *catalog.Service
 	customer string
+	// regions holds the only regions that the customer allows; empty for all.
+	regions  []string
 	urgency  int
 	deadline time.Time
 
@@ -140,7 +145,7 @@
 	}
 	r.urgency = r.route.Priority
 	if customer != nil {
-		r.customer = customer.Name
+		r.customer, r.regions = customer.Name, customer.Regions
 		if customer.HasPriority {
 			r.urgency = customer.Priority
 		}
@@ -191,6 +196,27 @@
 	return r.deliver(ctx)
 }
 
+// usable returns the endpoints that the newest facts and the regions of route
+// and customer allow.
+func (r *run) usable() []*catalog.Endpoint {
+	all := r.cfg.Facts().Usable[r.service.Name]
+	if len(r.route.Regions) == 0 && len(r.regions) == 0 {
+		return all
+	}
+	var allowed []*catalog.Endpoint
+	for _, e := range all {
+		region := r.cfg.Regions[e.Zone]
+		if allows(r.route.Regions, region) && allows(r.regions, region) {
+			allowed = append(allowed, e)
+		}
+	}
+	return allowed
+}
+
+func allows(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
 // remaining is how long an endpoint may work.
 func (r *run) remaining() time.Duration { return r.deadline.Sub(r.cfg.Clock.Now()) }
 
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -59,7 +59,7 @@
 
 // wantedZone is the zone of the endpoint that should run the request.
 func (r *run) wantedZone() string {
-	e := r.cfg.Table.Expected(r.facts.Usable[r.service.Name], r.work(""))
+	e := r.cfg.Table.Expected(r.usable(), r.work(""))
 	if e == nil {
 		return ""
 	}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -35,10 +35,7 @@
 	Allowance  time.Duration
 	Received   time.Time
 	Key        string
-	Caller     string
 	Prompt     []PromptPart
-	TokensIn   int
-	TokensOut  int
 	ResumeFrom string
 	// Pieces is the number of pieces of each stage, PieceKey what they are made from.
 	Pieces   []int
@@ -75,8 +72,6 @@
 	Inputs []string
 	// ResumeFrom is the id of the last event that the caller has; empty for none.
 	ResumeFrom string
-	// Fresh asks for a connection that no other call has used.
-	Fresh bool
 }
 
 // Reply is an endpoint's answer.
@@ -97,9 +92,7 @@
 	Encoded bool
 	// Named is set if the answer names the exchange that it belongs to.
 	Named bool
-	// Leaving is set if the endpoint closes the connection after the answer.
-	Leaving bool
-	Load    *EndpointLoad
+	Load  *EndpointLoad
 }
 
 // EndpointLoad is what an endpoint says of its load in an answer.
