Have refused callers come back after 1.2 s at least

Cause: callers refused for a backlog of seconds came back after 0.3 s and were refused again, the dearest end of a request. Change: the least time to come back is 1.2 s.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -11,7 +11,7 @@
 const (
 	// shortRetry and longRetry bound the time after which a caller that was
 	// refused is asked to come back.
-	shortRetry = 300 * time.Millisecond
+	shortRetry = 1200 * time.Millisecond
 	longRetry  = 2 * time.Second
 	// firstPart is the part of its time that a request may need to be taken when
 	// it comes first. What is left lets those that come back find room: to
