--- a/internal/adapter/httpcall/body_test.go
+++ b/internal/adapter/httpcall/body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -82,3 +83,13 @@
 	is.NoErr(err)
 	is.Equal(got, "new")
 }
+
+func TestAServersKeepAliveBoundsTheIdleTime(t *testing.T) {
+	is := is.New(t)
+	is.Equal(keepTime("timeout=5, max=100"), 5*time.Second-keepMargin)
+	is.Equal(keepTime("max=100"), time.Duration(0))
+	is.Equal(keepTime("timeout=x"), time.Duration(0))
+	p := New(Config{IdleTime: 10 * time.Second})
+	is.Equal(p.idleLimit(&conn{keep: time.Second}), time.Second)
+	is.Equal(p.idleLimit(&conn{}), 10*time.Second)
+}
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -17,6 +17,9 @@
 	// limit.
 	sendBy time.Time
 	idleAt time.Time
+	// keep is how long the server keeps the idle connection, less a margin; zero
+	// if it does not say.
+	keep time.Duration
 }
 
 // Write counts the bytes handed to the operating system. It looks at the
@@ -54,7 +57,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[addr] = list
-		if time.Since(c.idleAt) < p.idleTime && alive(c.Conn) {
+		if time.Since(c.idleAt) < p.idleLimit(c) && alive(c.Conn) {
 			return c
 		}
 		c.Close()
@@ -63,6 +66,14 @@
 	return nil
 }
 
+// idleLimit is how long a connection may lie idle and still be used.
+func (p *Pool) idleLimit(c *conn) time.Duration {
+	if c.keep > 0 {
+		return min(p.idleTime, c.keep)
+	}
+	return p.idleTime
+}
+
 // put gives a connection back for reuse.
 func (p *Pool) put(addr string, c *conn) {
 	p.mu.Lock()
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -13,6 +13,8 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -178,9 +180,26 @@
 	if resp.ConnectionClose() || !drained(resp.BodyStream()) {
 		return false, nil
 	}
+	c.keep = keepTime(string(resp.Header.Peek("Keep-Alive")))
 	return c.reader.Buffered() == 0, nil
 }
 
+// keepMargin is left of the time that a server keeps an idle connection, for a
+// request on its way.
+const keepMargin = 500 * time.Millisecond
+
+// keepTime reads "timeout=N" in seconds; zero if there is none.
+func keepTime(field string) time.Duration {
+	for _, part := range strings.Split(field, ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if n, err := strconv.Atoi(value); err == nil && n > 0 {
+				return time.Duration(n)*time.Second - keepMargin
+			}
+		}
+	}
+	return 0
+}
+
 // drained reports whether the body has been read to its end.
 func drained(body io.Reader) bool {
 	if body == nil {
