Count an endpoint that broke as cold until it shows otherwise

Cause: a server that crashed may be back, cold, before its entry says so; and services without a limit for cold endpoints got no work at all while warm-up was announced. Change: a broken connection cools an endpoint of a service with such a limit; one without is not limited.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -87,6 +87,9 @@
 	outcomes     []bool
 	suspectUntil time.Time
 	seen         bool
+	// warmUp is how long the endpoint is cold after a start; zero without a
+	// limit for cold ones.
+	warmUp time.Duration
 }
 
 // New returns a Table of a host in the zone. r must not be used by others.
@@ -107,6 +110,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.of(e)
+	if service != nil && service.WarmUpRate > 0 {
+		s.warmUp = service.WarmUp
+	}
 	warm := e.WarmUpLeft
 	if fresh && !s.seen && service != nil {
 		warm = max(warm, service.WarmUp)
@@ -226,6 +232,9 @@
 // Each host has an equal share of what the endpoint bears, so the sum holds
 // without word of the others.
 func (t *Table) coldRoom(s *state, service *catalog.Service, now time.Time) bool {
+	if service.WarmUpRate <= 0 {
+		return true
+	}
 	share := int((service.WarmUpRate*t.limits.Overrun + t.limits.Slack) / float64(t.hosts))
 	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) > coldWindow })
 	return len(s.coldSends) < share
@@ -330,6 +339,10 @@
 	case Broken, Moved:
 		s.downFor = min(maxDown, max(minDown, 2*s.downFor))
 		s.downUntil = now.Add(s.downFor)
+		// It may have started anew before its entry says so.
+		if s.warmUp > 0 {
+			s.cool(now, s.downFor+s.warmUp)
+		}
 		return true
 	}
 	return false
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -152,3 +152,36 @@
 	}
 	is.Equal(table.Pick(list, Work{Service: small}), nil)
 }
+
+func TestEndpointsWithoutAColdLimitAreUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	table := newTable(&handClock{now: time.Unix(0, 0)}, 1)
+	table.SetHosts(20)
+	plain := &catalog.Service{Name: "register"}
+	e := &catalog.Endpoint{ID: "a", Slots: 6, Zone: "kranj", WarmUpLeft: 3 * time.Second}
+	table.Known(e, plain, true)
+	is.True(table.Pick([]*catalog.Endpoint{e}, Work{Service: plain}) != nil)
+}
+
+func TestAnEndpointThatBrokeMayHaveComeBackCold(t *testing.T) {
+	is := is.New(t)
+	clock := &handClock{now: time.Unix(0, 0)}
+	table := newTable(clock, 1)
+	table.SetHosts(10)
+	list := engines(1)
+	table.Known(list[0], pool, false)
+	for range 10 {
+		is.True(table.Pick(list, Work{Service: pool}) != nil)
+	}
+	table.Done(list[0], Broken, nil)
+	clock.now = clock.now.Add(minDown)
+	sent := 0
+	for range 10 {
+		if table.Pick(list, Work{Service: pool}) != nil {
+			sent++
+		}
+	}
+	is.Equal(sent, 2) // 21.5 a second over ten hosts
+	clock.now = clock.now.Add(pool.WarmUp)
+	is.True(table.Pick(list, Work{Service: pool}) != nil)
+}
