--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -38,13 +38,13 @@
 	defer func() { r.trace.stages += r.cfg.Clock.Now().Sub(began) }()
 	plan := &stagework.Plan{Request: r.x.ID, Key: r.x.PieceKey, Priority: r.urgency, Zone: r.wantedZone(), Bound: r.sharedTokens() >= costlyTokens, Returned: r.returned(),
 		Due: r.x.Received.Add(r.route.Target - r.firstEvent()), Last: r.deadline.Add(-r.firstEvent())}
-	any := false
+	wanted := 0
 	for i, s := range r.route.Stages {
 		plan.Stages = append(plan.Stages, stagework.Stage{Service: s.Service, After: s.After, Pieces: r.pieces(i), ResultBytes: s.ResultBytes})
-		any = any || r.pieces(i) > 0
+		wanted += r.pieces(i)
 	}
 	r.inputs, r.zone = []string{}, ""
-	if !any {
+	if wanted == 0 {
 		return nil
 	}
 	results, err := r.cfg.Stages.Make(ctx, plan)
