--- a/internal/app/suspects.go
+++ b/internal/app/suspects.go
@@ -31,20 +31,15 @@
 
 // newGuard returns what watches for requests that crash endpoints.
 func (a *App) newGuard() *suspect.Guard {
-	cfg := suspect.Config{
+	g := suspect.New(suspect.Config{
 		Host:    a.cfg.Host,
 		Store:   a.deps.Claims,
 		Clock:   a.deps.Clock,
 		Probe:   a.probeEndpoint,
 		Spread:  a.spreadSuspect,
 		Changed: a.recordQuarantine,
-	}
-	if a.deps.Peers != nil {
-		cfg.Witness = witness{a}
-	}
-	g := suspect.New(cfg)
+	})
 	if a.deps.Peers != nil {
-		a.handleAttempts()
 		a.deps.Peers.Handle(kindSuspect, func(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
 			return nil, a.mergeSuspect(payload)
 		})
