Enter attempts with a witness that asks their endpoints

Cause: a crash that only a dead host saw was not known to the others, so the request crashed a third endpoint. Change: an attempt carries its endpoint's incarnation. An attempt whose host does not answer counts against the request only if its endpoint is gone or new.

--- a/internal/app/suspects.go
+++ b/internal/app/suspects.go
@@ -31,15 +31,20 @@
 
 // newGuard returns what watches for requests that crash endpoints.
 func (a *App) newGuard() *suspect.Guard {
-	g := suspect.New(suspect.Config{
+	cfg := suspect.Config{
 		Host:    a.cfg.Host,
 		Store:   a.deps.Claims,
 		Clock:   a.deps.Clock,
 		Probe:   a.probeEndpoint,
 		Spread:  a.spreadSuspect,
 		Changed: a.recordQuarantine,
-	})
+	}
+	if a.deps.Peers != nil {
+		cfg.Witness = witness{a}
+	}
+	g := suspect.New(cfg)
 	if a.deps.Peers != nil {
+		a.handleAttempts()
 		a.deps.Peers.Handle(kindSuspect, func(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
 			return nil, a.mergeSuspect(payload)
 		})
@@ -189,6 +194,9 @@
 	}
 	return func(o pipeline.Outcome) {
 		behind(o)
+		if o.Answer.Load != nil {
+			g.guard.Reported(e.ID, o.Answer.Load.Incarnation)
+		}
 		leave(endingOf(o.Err))
 	}, nil
 }
--- a/internal/core/suspect/fleet_test.go
+++ b/internal/core/suspect/fleet_test.go
@@ -104,14 +104,61 @@
 		h := &host{fleet: f}
 		h.guard = New(Config{
 			Host: fmt.Sprintf("host-%d", i), Store: hostStore{f.store, h}, Clock: port.SystemClock{},
-			Probe:  func(_ context.Context, e string) (port.Load, error) { pause(hopTime); return f.servers[e].probe() },
-			Spread: func(r Record) { f.spread(h, r) },
+			Probe:   func(_ context.Context, e string) (port.Load, error) { pause(hopTime); return f.servers[e].probe() },
+			Spread:  func(r Record) { f.spread(h, r) },
+			Witness: hostWitness{f, h, i},
 		})
 		f.hosts = append(f.hosts, h)
 	}
 	return f
 }
 
+// hostWitness reaches the other hosts as one host does.
+type hostWitness struct {
+	fleet *fleet
+	host  *host
+	index int
+}
+
+// of returns the request's witness: the first other live host after its own
+// place, so that every host asks the same two.
+func (w hostWitness) of(f Fingerprint) *host {
+	hosts := w.fleet.hosts
+	for i := range hosts {
+		if h := hosts[(int(f[0])+i)%len(hosts)]; !h.isDead() && (h != w.host || i > 0) {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w hostWitness) Enter(_ context.Context, a Attempt) []Attempt {
+	if w.host.isDead() {
+		return nil
+	}
+	pause(2 * hopTime)
+	if h := w.of(a.Print); h != nil {
+		return h.guard.Keep(a)
+	}
+	return nil
+}
+
+func (w hostWitness) Leave(a Attempt) {
+	if h := w.of(a.Print); h != nil && !w.host.isDead() {
+		h.guard.Keep(a)
+	}
+}
+
+func (w hostWitness) Answers(_ context.Context, host string) bool {
+	pause(2 * hopTime)
+	for i, h := range w.fleet.hosts {
+		if fmt.Sprintf("host-%d", i) == host {
+			return !h.isDead()
+		}
+	}
+	return false
+}
+
 func (f *fleet) spread(from *host, r Record) {
 	if from.isDead() {
 		f.mu.Lock()
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -126,6 +126,8 @@
 	// Changed is told of each quarantine that this host decides on or
 	// releases; nil if nobody asks.
 	Changed func(r Record, action string)
+	// Witness enters attempts with other hosts; nil on a host without others.
+	Witness Witness
 	// Go runs fn on a goroutine; nil means a new one for each.
 	Go func(fn func())
 }
@@ -142,6 +144,10 @@
 	deaths map[string][]Record
 	// turns holds one place for each endpoint's trials.
 	turns map[string]chan struct{}
+	// attempts holds what this host is the witness of.
+	attempts map[Fingerprint][]kept
+	// incarnations holds what each endpoint last reported.
+	incarnations map[string]string
 	// changed is closed and replaced when an attempt leaves an endpoint.
 	changed chan struct{}
 }
@@ -151,7 +157,7 @@
 	if cfg.Go == nil {
 		cfg.Go = func(fn func()) { go fn() }
 	}
-	g := &Guard{cfg: cfg, marks: make(map[Fingerprint]Record), running: make(map[string]int), deaths: make(map[string][]Record), turns: make(map[string]chan struct{}), changed: make(chan struct{})}
+	g := &Guard{cfg: cfg, marks: make(map[Fingerprint]Record), running: make(map[string]int), deaths: make(map[string][]Record), turns: make(map[string]chan struct{}), attempts: make(map[Fingerprint][]kept), incarnations: make(map[string]string), changed: make(chan struct{})}
 	g.life, g.end = context.WithCancel(context.Background())
 	return g
 }
@@ -201,17 +207,23 @@
 	if err := g.Check(f); err != nil {
 		return nil, verdict.From(err).WithVerdict(verdict.NotRun)
 	}
-	if g.lookup(f).State == Suspect {
+	if g.lookup(f).State == Suspect || g.consult(ctx, f, endpoint) {
+		if err := g.Check(f); err != nil {
+			return nil, verdict.From(err).WithVerdict(verdict.NotRun)
+		}
 		return g.enterTrial(ctx, f, endpoint)
 	}
 	if !g.beginSoon(ctx, endpoint) {
+		g.dismiss(f, endpoint)
 		return nil, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "the endpoint is kept free for a trial").WithRetryAfter(heldRetryAfter)
 	}
 	return func(e Ending) {
 		g.leave(endpoint)
 		if e == Died {
+			g.forgetIncarnation(endpoint)
 			g.mark(Record{Print: f, State: Suspect, Endpoint: endpoint}, suspectLife)
 		}
+		g.dismiss(f, endpoint)
 	}, nil
 }
 
