Choose engines by their cache unless the results outweigh it

Cause: the engine had to be in the zone of the stage results, however small; requests whose stages were made elsewhere read thousands of shared tokens anew. Change: the zone of the results binds only if moving them costs more than reading the shared prompt anew, by the users' prices.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -50,3 +50,15 @@
 	r.route.PromptCache = false
 	is.Equal(r.work("kranj").CacheKey, "")
 }
+
+func TestTheZoneOfResultsBindsOnlyIfTheyOutweighTheCache(t *testing.T) {
+	is := is.New(t)
+	chain := []catalog.Stage{{ResultBytes: 8000}, {After: []int{0}, ResultBytes: 6000}}
+	r := &run{x: &port.Exchange{Prompt: []port.PromptPart{{ID: "a", Tokens: 300}, {ID: "b", Tokens: 200}, {ID: "own", Tokens: 900}}, Pieces: []int{200, 10}},
+		route: &catalog.Route{PromptCache: true, Stages: chain}}
+	is.Equal(r.resultBytes(), int64(60000)) // of the last stage alone
+	is.Equal(r.work("kranj").Zone, "")
+	r.route.Stages = []catalog.Stage{{ResultBytes: 1500000}}
+	r.x.Pieces = []int{2}
+	is.Equal(r.work("kranj").Zone, "kranj")
+}
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
 
@@ -14,6 +16,10 @@
 	// costlyTokens is the size of a shared prompt that is worth a wait for the
 	// zone whose engine keeps it: reading it anew takes about 50 ms.
 	costlyTokens = 2000
+	// tokenBytes is the size of results whose way between zones costs as much as
+	// reading one prompt token anew: the users' prices, 0.26 for 1,000 tokens
+	// and about 95 for a GB.
+	tokenBytes = 2700
 	// returnedPart is the part of the route's timeout below which a caller's time
 	// shows that it has been here before.
 	returnedPart = 0.97
@@ -93,8 +99,24 @@
 	r.first[r.route.Name] = old + time.Duration(firstEventWeight*float64(d-old))
 }
 
-// work describes the exchange to the balancer.
+// resultBytes returns the size of the results that the endpoint fetches.
+func (r *run) resultBytes() int64 {
+	sum := int64(0)
+	for i, s := range r.route.Stages {
+		needed := slices.ContainsFunc(r.route.Stages, func(o catalog.Stage) bool { return slices.Contains(o.After, i) })
+		if !needed {
+			sum += int64(r.pieces(i)) * s.ResultBytes
+		}
+	}
+	return sum
+}
+
+// work describes the exchange to the balancer. The zone of the results binds
+// only if they cost more to move than the shared prompt costs to read anew.
 func (r *run) work(zone string) balance.Work {
+	if r.route.PromptCache && int64(r.sharedTokens())*tokenBytes > r.resultBytes() {
+		zone = ""
+	}
 	w := balance.Work{Service: r.service, Zone: zone, Avoid: r.tried}
 	if parts := r.x.Prompt; r.route.PromptCache && len(parts) > 0 {
 		// The last part is the request's own; the one before it is its subject's.
