Watch which endpoints can be reached; ask for room instead of guessing it

Cause: with a zone cut off, each endpoint there was found out by a request or a stage call of its own, a second and up to four tries apart; pieces and results there were waited for. Room at stage endpoints that nobody accounts for (lost calls, results of another keeper) was guessed. Change: a call that ends without an answer, or a host that does not answer, has the endpoints of that zone probed; those that miss two probes get no work until they answer one, their calls end, and jobs with results there are begun anew. Endpoints are asked for their room while some of it is not accounted for.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -29,6 +30,9 @@
 	// foreign is the room that results of other keepers took at foreignAt.
 	foreign   int64
 	foreignAt time.Time
+	// measuring is set while the endpoint is asked for its room, measured once it
+	// has told.
+	measuring, measured bool
 	// ratio is how long calls took lately against what they should.
 	ratio float64
 }
@@ -127,8 +131,9 @@
 		if !notRun {
 			// The results may have been made; nobody knows their handles.
 			for i, r := range c.refs {
-				e.hold("lost/"+r.job.ID+"/"+c.started.String()+"/"+strconv.Itoa(i), r.job.ResultBytes, until)
+				e.hold(lostPrefix+r.job.ID+"/"+c.started.String()+"/"+strconv.Itoa(i), r.job.ResultBytes, until)
 			}
+			e.measured = false
 			e.observe(now.Sub(c.started), c.expected)
 		}
 		return
@@ -145,9 +150,100 @@
 	if noRoom {
 		// Another keeper's results are there, or some whose freeing was lost.
 		e.foreign, e.foreignAt = max(0, e.limits.RoomBytes-e.heldBytes-e.reserved), now
+		e.measured = false
 	}
 }
 
+// lostPrefix begins the names of results whose handles nobody knows.
+const lostPrefix = "lost/"
+
+// Unmeasured returns the endpoints whose room is not known for certain, once
+// each: call Measured for them.
+func (q *Queue) Unmeasured() []*catalog.Endpoint {
+	var list []*catalog.Endpoint
+	for _, e := range q.endpoints {
+		if e.usable && !e.measured && !e.measuring {
+			e.measuring = true
+			list = append(list, e.Endpoint)
+		}
+	}
+	return list
+}
+
+// Measured takes in the room for results that an endpoint says it has; below 0
+// if it does not say. It reports whether to ask again after a while.
+func (q *Queue) Measured(now time.Time, of *catalog.Endpoint, free int64, answered bool) bool {
+	e := q.endpoints[of.Lifetime()]
+	if e == nil {
+		return false
+	}
+	if !e.usable || answered && free < 0 {
+		e.measuring, e.measured = false, e.usable
+		return false
+	}
+	if !answered {
+		return true
+	}
+	e.correct(now, free)
+	e.measuring = e.foreign+e.lostBytes() > 0
+	e.measured = !e.measuring
+	return e.measuring
+}
+
+// reportGrain is the step in which endpoints tell their room.
+const reportGrain = 1e6
+
+// correct brings the room that nobody accounts for within what a report of the
+// free room allows.
+func (e *endpoint) correct(now time.Time, free int64) {
+	lost := e.lostBytes()
+	taken := e.limits.RoomBytes - (e.heldBytes - lost) - e.reserved
+	least, most := max(0, taken-free-reportGrain), max(0, taken-free+reportGrain/2)
+	switch known := lost + e.foreign; {
+	case known > most:
+		for handle := range e.held {
+			if strings.HasPrefix(handle, lostPrefix) {
+				e.release(handle)
+			}
+		}
+		e.foreign, e.foreignAt = least, now
+	case known < least:
+		e.foreign, e.foreignAt = least-lost, now
+	}
+}
+
+// lostBytes returns the room of results whose handles nobody knows.
+func (e *endpoint) lostBytes() int64 {
+	sum := int64(0)
+	for handle, h := range e.held {
+		if strings.HasPrefix(handle, lostPrefix) {
+			sum += h.bytes
+		}
+	}
+	return sum
+}
+
+// Holder returns the endpoint that a result lies with, nil if it is not known.
+func (q *Queue) Holder(handle string) *catalog.Endpoint {
+	for _, e := range q.endpoints {
+		if _, ok := e.held[handle]; ok {
+			return e.Endpoint
+		}
+	}
+	return nil
+}
+
+// FailWithout ends the jobs that need results that are lost.
+func (q *Queue) FailWithout(lost func(handle string) bool) []Finished {
+	var out []Finished
+	for _, p := range slices.Clone(q.jobs) {
+		if slices.ContainsFunc(p.Inputs, lost) {
+			out = append(out, q.fail(p, port.PieceNoInput))
+		}
+	}
+	return out
+}
+
 // foreignHalf is the time in which half of other keepers' results are thought
 // to be freed: about two calls.
 const foreignHalf = 600 * time.Millisecond
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -313,3 +313,44 @@
 		}
 	})
 }
+
+// TestReportsSettleRoomThatNobodyAccountsFor has a call fail whose results may
+// have been made, and another keeper's results take room.
+func TestReportsSettleRoomThatNobodyAccountsFor(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	e := servers("kranj")[0]
+	is.Equal(len(q.Unmeasured()), 1)
+	is.Equal(len(q.Unmeasured()), 0) // it is being asked
+	is.True(!q.Measured(epoch, e, 22e6, true))
+	q.Add(epoch, job("a", 4, 1500000))
+	c := q.Next(epoch)[0]
+	q.Done(epoch.Add(time.Second), c, nil, errors.New("broken"), false)
+	now := epoch.Add(time.Second)
+	is.Equal(q.Room(e), int64(16e6)) // the four may lie there
+	is.Equal(len(q.Unmeasured()), 1)
+	is.True(!q.Measured(now, e, 22e6, true))
+	is.Equal(q.Room(e), int64(22e6)) // they do not
+	q.endpoints[e.Lifetime()].measured = false
+	is.Equal(len(q.Unmeasured()), 1)
+	is.True(q.Measured(now, e, 10e6, true)) // another's results: ask again
+	is.Equal(q.Room(e), int64(11e6))        // told in whole MB
+	is.True(!q.Measured(now, e, 22e6, true))
+	is.Equal(q.Room(e), int64(22e6))
+	is.True(!q.Measured(now, e, -1, true)) // one that does not tell is not asked again
+	is.Equal(q.Room(e), int64(22e6))
+}
+
+func TestJobsWhoseInputsAreLostFailAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	sound, lost := job("a", 1, 8000), job("b", 1, 8000)
+	sound.Inputs, lost.Inputs = []string{"h1", "h2"}, []string{"h2", "h3"}
+	q.Add(epoch, sound)
+	q.Add(epoch, lost)
+	out := q.FailWithout(func(handle string) bool { return handle == "h3" })
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Job.ID, "b")
+	is.Equal(out[0].Failure, port.PieceNoInput)
+	is.Equal(q.Len(), 1)
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -21,6 +21,7 @@
 	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/exchange"
 	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/peering"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
@@ -72,6 +73,7 @@
 	facts    *facts.Facts
 	table    *balance.Table
 	retries  *quota.Retries
+	health   *health.Watch
 	desk     *stagework.Desk
 	server   *exchange.Server
 	front    Front
@@ -99,8 +101,9 @@
 	n.retries = quota.NewRetries(quota.Rule{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
 	n.setHosts(unknownHosts)
 	self := facts.Host{ID: s.Host, Zone: s.Zone, Address: s.Peers, Started: time.Now().UnixMilli()}
+	n.health = health.New(health.Config{Endpoints: p.Endpoints, Known: n.endpoints, Changed: func() { n.desk.Refresh() }, Clock: clock, Log: log})
 	group, err := peering.Listen(peering.Config{Self: self, Prefix: p.OwnKeys, Feed: p.Feed, Clock: clock, Log: log,
-		MinLease: s.MinLease, Hosts: func() map[string]facts.Host { return n.facts.Current().Hosts }})
+		MinLease: s.MinLease, Suspected: n.health.Sweep, Hosts: func() map[string]facts.Host { return n.facts.Current().Hosts }})
 	if err != nil {
 		cancel()
 		return nil, err
@@ -110,9 +113,9 @@
 	n.facts = facts.New(facts.Config{Feed: p.Feed, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		Refusal: crashing.Refused, Ask: sharing.ask})
 	sharing.answer(n.facts)
-	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, clock, log, n.stageService)
+	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, n.health, clock, log, n.stageService)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
-		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Clock: clock, Rand: newRand(), Log: log,
+		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
 		Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
 		cancel()
@@ -156,6 +159,15 @@
 	})
 }
 
+// endpoints returns all endpoints that may be called.
+func (n *Node) endpoints() []*catalog.Endpoint {
+	var all []*catalog.Endpoint
+	for _, list := range n.facts.Current().Usable {
+		all = append(all, list...)
+	}
+	return all
+}
+
 // stageService returns a stage service with the endpoints that may be called.
 func (n *Node) stageService(name string) (*catalog.Service, []*catalog.Endpoint) {
 	s := n.facts.Current()
@@ -231,6 +243,7 @@
 	}
 	cut := n.front.Busy()
 	n.front.Close()
+	n.health.Close()
 	n.cancel()
 	n.endReady()
 	n.tasks.Wait()
--- a/internal/exchange/deliver.go
+++ b/internal/exchange/deliver.go
@@ -98,7 +98,7 @@
 
 // attempt sends the exchange to one endpoint.
 func (r *run) attempt(parent context.Context, e *catalog.Endpoint) error {
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := r.attemptContext(parent, e)
 	defer cancel()
 	if d, ok := r.tryTime(); ok {
 		timer := time.AfterFunc(d, cancel)
@@ -119,13 +119,25 @@
 		r.ran++
 	}
 	o := r.outcome(parent, err)
-	if o == balance.Broken && verdict.Of(err) != verdict.NotRun {
-		r.cfg.Crashes.Crashed(r.x, e.ID)
+	if o == balance.Broken {
+		r.cfg.Health.Failed(e)
+		if verdict.Of(err) != verdict.NotRun {
+			r.cfg.Crashes.Crashed(r.x, e.ID)
+		}
 	}
 	r.cfg.Table.Done(e, o, load)
 	return err
 }
 
+// attemptContext bounds an attempt. One that another may follow ends as soon as
+// its endpoint can't be reached.
+func (r *run) attemptContext(parent context.Context, e *catalog.Endpoint) (context.Context, context.CancelFunc) {
+	if r.route.Repeatable() && r.ran+1 < r.route.MaxAttempts {
+		return r.cfg.Health.While(parent, e)
+	}
+	return context.WithCancel(parent)
+}
+
 // tryTime returns how long an attempt may go without an answer, for requests
 // that another attempt may follow.
 func (r *run) tryTime() (time.Duration, bool) {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -19,6 +19,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
@@ -40,6 +41,7 @@
 	Endpoints port.Endpoints
 	Stages    *stagework.Maker
 	Crashes   *crashing.List
+	Health    *health.Watch
 	// Regions holds the region of each zone.
 	Regions map[string]string
 	Clock   port.Clock
@@ -196,10 +198,10 @@
 	return r.deliver(ctx)
 }
 
-// usable returns the endpoints that the newest facts and the regions of route
-// and customer allow.
+// usable returns the endpoints that can be reached and that the newest facts
+// and the regions of route and customer allow.
 func (r *run) usable() []*catalog.Endpoint {
-	all := r.cfg.Facts().Usable[r.service.Name]
+	all := r.cfg.Health.Up(r.cfg.Facts().Usable[r.service.Name])
 	if len(r.route.Regions) == 0 && len(r.regions) == 0 {
 		return all
 	}
--- a/internal/peering/ask.go
+++ b/internal/peering/ask.go
@@ -87,6 +87,9 @@
 	}
 	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
 	go g.probe(id)
+	if host, ok := g.cfg.Hosts()[id]; ok && g.cfg.Suspected != nil {
+		g.cfg.Suspected(host.Zone)
+	}
 	// Hosts are often cut off together; those that may be asked next are looked
 	// at in the same moment, not one after the other.
 	for _, next := range g.Elders()[:min(len(g.Elders()), suspectedTogether)] {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -55,6 +55,9 @@
 	Log    *slog.Logger
 	// MinLease is the shortest lease that the store gives.
 	MinLease time.Duration
+	// Suspected is told of the zone of each host that does not answer; nil if
+	// nobody asks.
+	Suspected func(zone string)
 	// Hosts returns the hosts that are known.
 	Hosts func() map[string]facts.Host
 }
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -139,6 +139,17 @@
 	MakePieces(ctx context.Context, e *catalog.Endpoint, pieces []Piece) ([]PieceResult, error)
 	// FreeResults gives up results that lie at the endpoint.
 	FreeResults(ctx context.Context, e *catalog.Endpoint, handles []string) error
+	// Report asks the endpoint for its state, on a new connection if fresh is set.
+	// Any answer shows that it can be reached; one without a report leaves the
+	// fields unset.
+	Report(ctx context.Context, e *catalog.Endpoint, fresh bool) (EndpointReport, error)
+}
+
+// EndpointReport is what an endpoint says of itself.
+type EndpointReport struct {
+	// FreeBytes is the room for results in whole MB, as of some hundred
+	// milliseconds ago; below 0 if it does not say.
+	FreeBytes int64
 }
 
 // Feed is the store as followed by range and watch. Revisions are of the whole store.
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -14,6 +14,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/gather"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -22,6 +23,10 @@
 	tick = 20 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// reportTimeout bounds the question for an endpoint's room, measurePause is
+	// the time between two: reports are some hundred milliseconds old.
+	reportTimeout = 300 * time.Millisecond
+	measurePause  = 300 * time.Millisecond
 )
 
 // Desk keeps the queues of the services that this host is the keeper of. It
@@ -32,11 +37,16 @@
 	clock     port.Clock
 	log       *slog.Logger
 	zone      string
+	health    *health.Watch
 	// reach returns the part of the hosts that this one reaches.
 	reach func() float64
 	// catalogue returns a service and its endpoints.
 	catalogue func(service string) (*catalog.Service, []*catalog.Endpoint)
 
+	// ctx ends with Run.
+	ctx context.Context
+	end context.CancelFunc
+
 	mu     sync.Mutex
 	queues map[string]*queue
 	// committed counts plans that should be in time, committedLate the others.
@@ -51,12 +61,16 @@
 }
 
 // NewDesk returns a desk without queues.
-func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
-	return &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, clock: clock, log: log, catalogue: catalogue, queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments), slowness: 1}
+func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, watch *health.Watch, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
+	d := &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, health: watch, clock: clock, log: log, catalogue: catalogue,
+		queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments), slowness: 1}
+	d.ctx, d.end = context.WithCancel(context.Background())
+	return d
 }
 
 // Run looks for room until ctx ends.
 func (d *Desk) Run(ctx context.Context) {
+	defer d.end()
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	for {
@@ -108,7 +122,10 @@
 		d.queues[service] = q
 	}
 	q.SetService(s)
-	q.SetEndpoints(d.share(service, endpoints))
+	q.SetEndpoints(d.share(service, d.health.Up(endpoints)))
+	for _, e := range q.Unmeasured() {
+		go d.measure(q, e)
+	}
 	return q, nil
 }
 
@@ -116,13 +133,46 @@
 func (d *Desk) Refresh() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name := range d.queues {
+	for name, q := range d.queues {
+		d.settle(q, q.FailWithout(d.lost))
 		if q, err := d.queue(name); err == nil {
 			d.pump(q)
 		}
 	}
 }
 
+// lost reports whether a result lies with an endpoint that can't be reached.
+// d.mu is held.
+func (d *Desk) lost(handle string) bool {
+	for _, q := range d.queues {
+		if e := q.Holder(handle); e != nil {
+			return d.health.Avoided(e)
+		}
+	}
+	return false
+}
+
+// measure asks an endpoint for its room until it has none that is not
+// accounted for: results of other keepers, and of calls that failed.
+func (d *Desk) measure(q *queue, e *catalog.Endpoint) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		report, err := d.endpoints.Report(ctx, e, false)
+		cancel()
+		d.mu.Lock()
+		more := q.Measured(d.clock.Now(), e, report.FreeBytes, err == nil)
+		d.pump(q)
+		d.mu.Unlock()
+		if !more {
+			return
+		}
+		port.Sleep(d.ctx, measurePause)
+		if d.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 func (d *Desk) result(f gather.Finished) (made, error) {
 	if f.Failure == port.PieceMade {
 		return made{f.Handles, f.Zone, f.Wait, d.clock.Now()}, nil
@@ -170,11 +220,16 @@
 }
 
 func (d *Desk) call(q *queue, c *gather.Call) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	up, release := d.health.While(context.Background(), c.Endpoint)
+	defer release()
+	ctx, cancel := context.WithTimeout(up, c.Timeout)
 	defer cancel()
 	results, err := d.endpoints.MakePieces(ctx, c.Endpoint, c.Pieces)
 	notRun := err != nil && verdict.Of(err) == verdict.NotRun
 	if err != nil {
+		if verdict.From(err).Code == verdict.CodeEndpointFailed {
+			d.health.Failed(c.Endpoint)
+		}
 		d.log.Warn("stage call failed", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
 			slog.Int("pieces", len(c.Pieces)), slog.Bool("not_run", notRun), slog.Any("error", err))
 	}
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -23,7 +23,7 @@
 	// late anyway are not begun: their results would lapse there.
 	crowdedTime = 400 * time.Millisecond
 	// maxPlanTries bounds how often a plan is begun anew because inputs were lost.
-	maxPlanTries = 2
+	maxPlanTries = 3
 )
 
 // Stage is one stage of a plan.
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -72,6 +73,17 @@
 	return nil
 }
 
+func (s *shop) Report(context.Context, *catalog.Endpoint, bool) (port.EndpointReport, error) {
+	return port.EndpointReport{FreeBytes: -1}, nil
+}
+
+// knownEndpoints returns those of both services.
+func knownEndpoints() []*catalog.Endpoint {
+	_, encode := stageService("encode")
+	_, rank := stageService("rank")
+	return append(encode, rank...)
+}
+
 func stageService(name string) (*catalog.Service, []*catalog.Endpoint) {
 	var list []*catalog.Endpoint
 	for i, zone := range []string{"kranj", "kranj", "celje"} {
@@ -82,7 +94,8 @@
 }
 
 func newDesk(s *shop, host string, reach float64) *Desk {
-	return NewDesk(host, "kranj", func() float64 { return reach }, s, port.SystemClock{}, slog.New(slog.DiscardHandler), stageService)
+	watch := health.New(health.Config{Endpoints: s, Known: knownEndpoints, Changed: func() {}, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
+	return NewDesk(host, "kranj", func() float64 { return reach }, s, watch, port.SystemClock{}, slog.New(slog.DiscardHandler), stageService)
 }
 
 func plan(id string, within time.Duration) *Plan {
