Do late jobs before their inputs lapse, and none after

The desk's slowness was one figure for all urgencies, though less urgent plans are overtaken; a step of urgency was 200 ms, a fraction of a call. Change: a late job that holds results goes by when they lapse; one whose inputs have lapsed fails at once. Slowness is kept by urgency, a step of urgency is 800 ms. Room that nobody accounts for fades continuously. The line of a stage call tells what was not made.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,9 +28,10 @@
 	idleSince time.Time
 	// busyUntil is when the newest call should end.
 	busyUntil time.Time
-	// foreign is the room that results of other keepers took at foreignAt.
-	foreign   int64
-	foreignAt time.Time
+	// foreign is the room that results of other keepers take; it was foreignStart
+	// at foreignAt.
+	foreign, foreignStart int64
+	foreignAt             time.Time
 	// measuring is set while the endpoint is asked for its room, measured once it
 	// has told.
 	measuring, measured bool
@@ -149,7 +151,7 @@
 	}
 	if noRoom {
 		// Another keeper's results are there, or some whose freeing was lost.
-		e.foreign, e.foreignAt = max(0, e.limits.RoomBytes-e.heldBytes-e.reserved), now
+		e.takeForeign(now, max(0, e.limits.RoomBytes-e.heldBytes-e.reserved))
 		e.measured = false
 	}
 }
@@ -206,9 +208,9 @@
 				e.release(handle)
 			}
 		}
-		e.foreign, e.foreignAt = least, now
+		e.takeForeign(now, least)
 	case known < least:
-		e.foreign, e.foreignAt = least-lost, now
+		e.takeForeign(now, least-lost)
 	}
 }
 
@@ -244,18 +246,21 @@
 	return out
 }
 
-// foreignHalf is the time in which half of other keepers' results are thought
-// to be freed: about two calls.
-const foreignHalf = 600 * time.Millisecond
+// takeForeign notes how much room nobody here accounts for.
+func (e *endpoint) takeForeign(now time.Time, bytes int64) {
+	e.foreign, e.foreignStart, e.foreignAt = bytes, bytes, now
+}
 
-// fade lets go of other keepers' results with time.
+// fade lets go of that room with time: results of a keeper that died lie there
+// until their life is over, evenly spread over it.
 func (e *endpoint) fade(now time.Time) {
-	for e.foreign > 0 && now.Sub(e.foreignAt) >= foreignHalf {
-		e.foreign /= 2
-		e.foreignAt = e.foreignAt.Add(foreignHalf)
-	}
+	e.foreign = int64(math.Exp2(-float64(now.Sub(e.foreignAt))/float64(foreignHalf)) * float64(e.foreignStart))
 }
 
+// foreignHalf is the time in which half of other keepers' results are thought
+// to be freed: about two calls.
+const foreignHalf = 600 * time.Millisecond
+
 func (e *endpoint) hold(handle string, bytes int64, until time.Time) {
 	e.release(handle)
 	e.held[handle] = holding{bytes, until}
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -35,7 +35,7 @@
 	maxDown = 4 * time.Second
 	// urgencyStep is the time by which a job is put behind those that are a step
 	// more urgent.
-	urgencyStep = 200 * time.Millisecond
+	urgencyStep = 800 * time.Millisecond
 	// slowRatio is the part by which an endpoint's calls take longer than they
 	// should for it to be taken only when no other is free.
 	slowRatio = 2.0
@@ -204,12 +204,16 @@
 	return slices.DeleteFunc(slices.Clone(handles), func(h string) bool { return h == "" })
 }
 
-// Expire drops the jobs that can't be done any more.
+// Expire drops the jobs that can't be done any more: too late, or without
+// their inputs.
 func (q *Queue) Expire(now time.Time) []Finished {
 	var out []Finished
 	for _, p := range slices.Clone(q.jobs) {
-		if p.working == 0 && now.Add(WorkTime(q.service.Stages, len(p.todo))).After(p.Last) {
+		switch {
+		case p.working == 0 && now.Add(WorkTime(q.service.Stages, len(p.todo))).After(p.Last):
 			out = append(out, q.fail(p, port.PieceLate))
+		case len(p.todo) > 0 && !p.Expires.IsZero() && !now.Before(p.Expires):
+			out = append(out, q.fail(p, port.PieceNoInput))
 		}
 	}
 	return out
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -105,6 +105,7 @@
 	now := epoch.Add(200 * time.Millisecond)
 	is.Equal(len(q.Done(now, c, results, nil, false)), 0)
 	is.Equal(len(q.Next(now)), 0)
+	is.Equal(len(q.Next(now.Add(foreignHalf/3))), 0)         // 4.5 MB are believed freed, four pieces need 6
 	is.Equal(len(q.Next(now.Add(foreignHalf))[0].Pieces), 4) // half of it is believed freed
 }
 
@@ -354,3 +355,24 @@
 	is.Equal(out[0].Failure, port.PieceNoInput)
 	is.Equal(q.Len(), 1)
 }
+
+func TestAJobIsDoneBeforeItsInputsLapse(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj")
+	held := job("held", 10, 8000)
+	held.Inputs, held.Due, held.Expires = []string{"h"}, epoch.Add(-time.Second), epoch.Add(500*time.Millisecond)
+	for i := range 3 {
+		q.Add(epoch, job(fmt.Sprint(i), 10, 8000))
+	}
+	q.Add(epoch, held)
+	calls := q.Next(epoch)
+	is.Equal(calls[0].Requests(), []string{"held"}) // late, but its input would be lost
+	later := held
+	later.ID = "later"
+	q.Add(epoch, later)
+	is.Equal(len(q.Expire(epoch.Add(499*time.Millisecond))), 0)
+	out := q.Expire(epoch.Add(500 * time.Millisecond))
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Job.ID, "later")
+	is.Equal(out[0].Failure, port.PieceNoInput)
+}
--- a/internal/core/gather/schedule.go
+++ b/internal/core/gather/schedule.go
@@ -100,6 +100,9 @@
 }
 
 func (p *pending) when() time.Time {
+	if p.late && !p.Expires.IsZero() && p.Expires.Before(p.Last) {
+		return p.Expires
+	}
 	if p.late {
 		return p.Last
 	}
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if expected := time.Duration(d.slowness * float64(forecast)); now.Add(expected).After(p.Due) {
+	if expected := time.Duration(d.slowness[level(p.Priority)] * float64(forecast)); now.Add(expected).After(p.Due) {
 		if err := d.admitLate(p, now); err != nil {
 			return 0, err
 		}
@@ -56,9 +56,9 @@
 	if !p.Returned {
 		left = time.Duration(firstPart * float64(left))
 	}
-	if expected := time.Duration(d.slowness * float64(forecast)); expected > left {
+	if expected := time.Duration(d.slowness[level(p.Priority)] * float64(forecast)); expected > left {
 		d.log.Info("stages refused", slog.String("request", p.Request), slog.Int64("expected_ms", expected.Milliseconds()),
-			slog.Int64("left_ms", left.Milliseconds()), slog.Float64("slowness", d.slowness), slog.Bool("returned", p.Returned),
+			slog.Int64("left_ms", left.Milliseconds()), slog.Float64("slowness", d.slowness[level(p.Priority)]), slog.Bool("returned", p.Returned),
 			slog.Any("waiting", d.waiting(p)))
 		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
 			WithRetryAfter(min(longRetry, max(shortRetry, expected-left)))
@@ -112,5 +112,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	ratio := min(maxSlowness, max(minSlowness, float64(took)/float64(forecast)))
-	d.slowness += slownessWeight * (ratio - d.slowness)
+	s := &d.slowness[level(p.Priority)]
+	*s += slownessWeight * (ratio - *s)
 }
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -51,8 +51,9 @@
 	queues map[string]*queue
 	// committed counts plans that should be in time, committedLate the others.
 	committed, committedLate commitments
-	// slowness is how long plans take against their forecast.
-	slowness float64
+	// slowness is how long plans take against their forecast, by urgency: those
+	// that are less urgent are overtaken.
+	slowness [levels]float64
 }
 
 type queue struct {
@@ -63,7 +64,10 @@
 // NewDesk returns a desk without queues.
 func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, watch *health.Watch, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
 	d := &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, health: watch, clock: clock, log: log, catalogue: catalogue,
-		queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments), slowness: 1}
+		queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments)}
+	for i := range d.slowness {
+		d.slowness[i] = 1
+	}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	return d
 }
@@ -236,12 +240,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.log.Info("stage call", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
-		slog.String("zone", c.Endpoint.Zone), slog.Int("pieces", len(c.Pieces)), slog.Any("requests", c.Requests()),
+		slog.String("zone", c.Endpoint.Zone), slog.Int("pieces", len(c.Pieces)), slog.Any("requests", c.Requests()), slog.Any("not_made", notMade(results)),
 		slog.Int64("took_ms", c.Took(d.clock.Now()).Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.Room(c.Endpoint)))
 	d.settle(q, q.Done(d.clock.Now(), c, results, err, notRun))
 	d.pump(q)
 }
 
+// notMade counts the pieces that were not made by the reason given.
+func notMade(results []port.PieceResult) map[port.PieceFailure]int {
+	counts := make(map[port.PieceFailure]int)
+	for _, r := range results {
+		if r.Failure != port.PieceMade {
+			counts[r.Failure]++
+		}
+	}
+	return counts
+}
+
 // Free gives up results that lie with endpoints of this desk's queues.
 func (d *Desk) Free(handles []string) {
 	if len(handles) == 0 {
