Have one keeper of the stages at a time, also around cuts

The oldest host lost the store, its entry lapsed, the others turned to the next one; it went on as keeper for itself, as did the second host that was cut off. Backlogs of two keepers then shared the endpoints in small calls. An oldest host that is cut off from its peers did not find out, as it asks nobody. Change: a host that is not entered gives way to those that answer. A host that is not the keeper any more hands plans over that have not begun, once each. Hosts beat two neighbours. A host that is alone but reaches endpoints of other zones is not ready, and closes its callers' connections after their answers: they are better served where the others work together.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -163,6 +163,12 @@
 	return n
 }
 
+// Begun reports whether pieces of a job have been given to an endpoint.
+func (q *Queue) Begun(id string) bool {
+	p := q.byID[id]
+	return p != nil && !p.started.IsZero()
+}
+
 // Len returns the number of jobs that are not done.
 func (q *Queue) Len() int { return len(q.jobs) }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -44,8 +44,8 @@
 
 // Front takes the callers' connections.
 type Front interface {
-	// CloseAfterAnswer makes each answer the last of its connection.
-	CloseAfterAnswer()
+	// CloseAfterAnswer has each answer be the last of its connection, or not.
+	CloseAfterAnswer(on bool)
 	// CloseIdle closes connections without a request and takes no new ones.
 	CloseIdle()
 	// Busy returns the number of requests under way.
@@ -83,9 +83,10 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 
-	mu       sync.Mutex
-	stopping bool
-	maxHosts int
+	mu        sync.Mutex
+	stopping  bool
+	isolation isolation
+	maxHosts  int
 
 	stopOnce sync.Once
 	cut      int
@@ -114,8 +115,9 @@
 		Refusal: crashing.Refused, Ask: sharing.ask})
 	sharing.answer(n.facts)
 	n.desk = stagework.NewDesk(s.Host, s.Zone, group.Reach, p.Endpoints, n.health, clock, log, n.stageService)
+	maker := stagework.NewMaker(group, n.desk, clock, log)
 	n.server = exchange.New(exchange.Config{Facts: n.facts.Current, Table: n.table, Retries: n.retries, Endpoints: p.Endpoints,
-		Stages: stagework.NewMaker(group, n.desk, clock, log), Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
+		Stages: maker, Crashes: crashing.New(group, p.Feed, p.OwnKeys, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
 		Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.front, err = p.Listen(n.server); err != nil {
 		cancel()
@@ -129,6 +131,8 @@
 	n.task(ctx, n.facts.Run)
 	n.task(ctx, n.desk.Run)
 	n.task(ctx, group.Run)
+	n.task(ctx, maker.Run)
+	n.task(ctx, n.watchIsolation)
 	n.serveMetrics(ctx)
 	log.Info("started", slog.String("host", s.Host), slog.String("zone", s.Zone), slog.String("callers", s.Callers))
 	return n, nil
@@ -182,7 +186,7 @@
 	s := n.facts.Current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.stopping && s.Config != nil && len(s.Usable) > 0
+	return !n.stopping && !n.isolation.on && s.Config != nil && len(s.Usable) > 0
 }
 
 // EndpointKnown implements facts.Observer.
@@ -230,9 +234,9 @@
 	began := time.Now()
 	n.mu.Lock()
 	n.stopping = true
+	n.front.CloseAfterAnswer(true)
 	n.mu.Unlock()
 	n.log.Info("stopping", slog.Duration("grace", n.settings.Grace))
-	n.front.CloseAfterAnswer()
 	go n.group.Leave()
 	time.Sleep(min(stillTaken, n.settings.Grace/2))
 	n.server.RefuseNew()
--- a/internal/peering/ask.go
+++ b/internal/peering/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -99,6 +100,31 @@
 	}
 }
 
+// beat asks two neighbours, one of them in another zone, again and again.
+func (g *Group) beat() {
+	for g.ctx.Err() == nil {
+		port.Sleep(g.ctx, beatInterval)
+		for _, id := range g.neighbours() {
+			go g.check(id)
+		}
+	}
+}
+
+// neighbours returns the first hosts in an order of this host's own that are
+// thought to answer: one of its zone and one of another.
+func (g *Group) neighbours() []string {
+	hosts := g.cfg.Hosts()
+	var near, far []string
+	for _, id := range g.Others() {
+		if hosts[id].Zone == g.cfg.Self.Zone {
+			near = append(near, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	return append(membership.Rendezvous(near, g.cfg.Self.ID, 1), membership.Rendezvous(far, g.cfg.Self.ID, 1)...)
+}
+
 // check suspects a host that does not answer a ping.
 func (g *Group) check(id string) {
 	host, known := g.cfg.Hosts()[id]
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -35,6 +35,9 @@
 	// suspectedTogether bounds the hosts that are looked at when one does not
 	// answer.
 	suspectedTogether = 8
+	// beatInterval is how often a host asks its neighbours whether they answer,
+	// also without work for them: the oldest host asks nobody else.
+	beatInterval = 500 * time.Millisecond
 	// probeInterval is how often a host that did not answer is asked again.
 	probeInterval = 500 * time.Millisecond
 	// keyBytes is the size of the key that the hosts share.
@@ -138,6 +141,7 @@
 	g.mu.Lock()
 	g.link = link
 	g.mu.Unlock()
+	go g.beat()
 	g.stayEntered(ctx)
 	link.Close()
 }
@@ -169,7 +173,10 @@
 			list = append(list, h)
 		}
 	}
-	if self.Leaving && len(list) > 1 {
+	// One that the others do not know, because its lease has lapsed while it does
+	// not reach the store, would work beside the host that they ask.
+	_, entered := hosts[self.ID]
+	if (self.Leaving || !entered) && len(list) > 1 {
 		list = list[1:]
 	}
 	slices.SortFunc(list, func(a, b facts.Host) int {
@@ -182,6 +189,15 @@
 	return ids
 }
 
+// Alone reports whether other hosts are known and none of them answers.
+func (g *Group) Alone() bool {
+	known := len(g.cfg.Hosts())
+	if _, entered := g.cfg.Hosts()[g.cfg.Self.ID]; entered {
+		known--
+	}
+	return known > 0 && len(g.Others()) == 0
+}
+
 // Reach returns the part of the known hosts that answer, this one among them.
 func (g *Group) Reach() float64 {
 	known := len(g.cfg.Hosts())
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -119,3 +119,41 @@
 	g.leaving = true
 	is.Equal(g.Elders(), []string{"a", "b", "c", "d"})
 }
+
+// The oldest host asks nobody for work; its beats show it that it is cut off.
+func TestAHostWithoutWorkForOthersFindsOutThatItIsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		link := &silent{quiet: make(map[string]bool)}
+		g := newGroup(link)
+		defer func() { g.cancel(); synctest.Wait() }()
+		go g.beat()
+		<-time.After(10 * beatInterval)
+		is.Equal(len(g.Others()), 4)
+		is.True(!g.Alone())
+		link.set(true, "a", "b", "c", "d")
+		<-time.After(beatInterval + 2*pingTimeout + time.Millisecond)
+		synctest.Wait()
+		is.True(g.Alone())
+		link.set(false, "b")
+		<-time.After(probeInterval + pingTimeout)
+		synctest.Wait()
+		is.True(!g.Alone())
+	})
+}
+
+// A host whose lease has lapsed while it does not reach the store is unknown to
+// the others, which ask another one.
+func TestAHostThatIsNotEnteredGivesWayToThoseThatAnswer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(&silent{})
+	known := g.cfg.Hosts()
+	g.cfg.Self = known["a"]
+	is.Equal(g.Elders()[0], "a")
+	delete(known, "a")
+	is.Equal(g.Elders(), []string{"b", "c", "d", "e"})
+	for _, id := range []string{"b", "c", "d", "e"} {
+		g.suspects[id] = true
+	}
+	is.Equal(g.Elders(), []string{"a"}) // alone it has to do its work itself
+}
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -49,6 +49,8 @@
 
 	mu     sync.Mutex
 	queues map[string]*queue
+	// graphs holds the plans under way and what ends them.
+	graphs map[*graph]context.CancelCauseFunc
 	// committed counts plans that should be in time, committedLate the others.
 	committed, committedLate commitments
 	// slowness is how long plans take against their forecast, by urgency: those
@@ -64,7 +66,7 @@
 // NewDesk returns a desk without queues.
 func NewDesk(self, zone string, reach func() float64, endpoints port.Endpoints, watch *health.Watch, clock port.Clock, log *slog.Logger, catalogue func(string) (*catalog.Service, []*catalog.Endpoint)) *Desk {
 	d := &Desk{self: self, zone: zone, reach: reach, endpoints: endpoints, health: watch, clock: clock, log: log, catalogue: catalogue,
-		queues: make(map[string]*queue), committed: make(commitments), committedLate: make(commitments)}
+		queues: make(map[string]*queue), graphs: make(map[*graph]context.CancelCauseFunc), committed: make(commitments), committedLate: make(commitments)}
 	for i := range d.slowness {
 		d.slowness[i] = 1
 	}
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
 
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -82,22 +83,34 @@
 	tried := make(map[string]bool)
 	for range maxKeepers {
 		keeper := m.keeper(tried)
-		if keeper == m.peers.Self() {
+		if tried[keeper] {
 			break
 		}
 		tried[keeper] = true
-		results, err, answered := m.ask(ctx, keeper, p)
-		if answered {
+		results, err, settled := m.at(ctx, keeper, p)
+		if settled {
 			return results, err
 		}
 		if ctx.Err() != nil {
 			return Results{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stages were cancelled")
 		}
-		m.log.Warn("keeper of the stages did not answer", slog.String("request", p.Request), slog.String("host", keeper), slog.Any("error", err))
+		p.Moved = p.Moved || verdict.From(err).Code == verdict.CodeNotReady
+		m.log.Warn("keeper of the stages did not settle a plan", slog.String("request", p.Request), slog.String("host", keeper),
+			slog.Bool("handed_over", p.Moved), slog.Any("error", err))
 	}
 	return m.desk.Do(ctx, p)
 }
 
+// at has the plan done by a keeper, which may be this host. settled says that no
+// other one should be asked.
+func (m *Maker) at(ctx context.Context, keeper string, p *Plan) (results Results, err error, settled bool) {
+	if keeper != m.peers.Self() {
+		return m.ask(ctx, keeper, p)
+	}
+	results, err = m.desk.Do(ctx, p)
+	return results, err, !errors.Is(err, errHandedOver)
+}
+
 // keeper returns the host that gathers pieces: the oldest that was not tried.
 func (m *Maker) keeper(tried map[string]bool) string {
 	for _, id := range m.peers.Elders() {
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -49,6 +49,8 @@
 	Bound bool `cbor:"6,keyasint,omitempty"`
 	// Returned says that the caller has been refused before.
 	Returned bool `cbor:"7,keyasint,omitempty"`
+	// Moved says that a keeper has handed the plan over.
+	Moved bool `cbor:"8,keyasint,omitempty"`
 	// Due is when the results should be there for the request to be in time,
 	// Last when they must be there for it to be answered at all.
 	Due  time.Time `cbor:"-"`
@@ -156,6 +158,8 @@
 func (g *graph) run(parent context.Context) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	g.desk.enter(g, cancel)
+	defer g.desk.leave(g)
 	for i := range g.done {
 		g.done[i] = make(chan struct{})
 	}
@@ -183,7 +187,7 @@
 // make makes one stage once the stages that it needs are made.
 func (g *graph) make(ctx context.Context, stage int) error {
 	s := g.Stages[stage]
-	job := gather.Job{ID: g.Request + "/" + strconv.Itoa(stage) + "/" + strconv.Itoa(g.try), Request: g.Request, Stage: stage,
+	job := gather.Job{ID: g.jobID(stage), Request: g.Request, Stage: stage,
 		Pieces: s.Pieces, ResultBytes: s.ResultBytes, Priority: g.Priority}
 	if len(s.After) == 0 {
 		job.Key = g.Key
@@ -224,6 +228,10 @@
 	return err
 }
 
+func (g *graph) jobID(stage int) string {
+	return g.Request + "/" + strconv.Itoa(stage) + "/" + strconv.Itoa(g.try)
+}
+
 // size returns the bytes of a stage's results.
 func (g *graph) size(stage int) int64 {
 	return int64(g.Stages[stage].Pieces) * g.Stages[stage].ResultBytes
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -213,17 +213,19 @@
 
 // fleet reaches other hosts' makers in memory.
 type fleet struct {
-	self     string
-	mu       *sync.Mutex
-	hosts    map[string]*fleet
-	dead     map[string]bool
+	self  string
+	mu    *sync.Mutex
+	hosts map[string]*fleet
+	dead  map[string]bool
+	// absent hosts are not among those that answer.
+	absent   map[string]bool
 	handlers map[string]port.RequestHandler
 }
 
 func newFleet(ids ...string) map[string]*fleet {
-	mu, hosts, dead := &sync.Mutex{}, make(map[string]*fleet), make(map[string]bool)
+	mu, hosts, dead, absent := &sync.Mutex{}, make(map[string]*fleet), make(map[string]bool), make(map[string]bool)
 	for _, id := range ids {
-		hosts[id] = &fleet{self: id, mu: mu, hosts: hosts, dead: dead, handlers: make(map[string]port.RequestHandler)}
+		hosts[id] = &fleet{self: id, mu: mu, hosts: hosts, dead: dead, absent: absent, handlers: make(map[string]port.RequestHandler)}
 	}
 	return hosts
 }
@@ -233,7 +235,9 @@
 	defer f.mu.Unlock()
 	var ids []string
 	for id := range f.hosts {
-		ids = append(ids, id)
+		if !f.absent[id] {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return ids
