Rank requests by customer first and by route among equals

Cause: a customer's priority replaced the route's. Change: the pair of both priorities gives the urgency, numbered densely.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -32,6 +32,8 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
+	// urgencies numbers the ranks of requests.
+	urgencies map[rank]int
 }
 
 // Route says where requests of a host and path prefix go and how long they may take.
@@ -112,7 +114,7 @@
 type Customer struct {
 	Name string
 	Keys []string
-	// Priority replaces the route's if HasPriority is set.
+	// Priority goes before the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
 	// Regions holds the only regions allowed; empty allows all.
@@ -162,6 +164,7 @@
 	for _, list := range c.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	c.orderRanks()
 	c.byKey = make(map[string]*Customer)
 	for i := range c.Customers {
 		for _, k := range c.Customers[i].Keys {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -145,12 +145,9 @@
 	if customer == nil && c.KeysNeeded() && !r.route.Public {
 		return r.unlessStale(verdict.New(verdict.CodeUnauthorized, verdict.NotRun, "key is not known"))
 	}
-	r.urgency = r.route.Priority
+	r.urgency = c.Urgency(r.route, customer)
 	if customer != nil {
 		r.customer, r.regions = customer.Name, customer.Regions
-		if customer.HasPriority {
-			r.urgency = customer.Priority
-		}
 	}
 	r.service = c.Services[r.route.ServiceFor(r.draw())]
 	if r.service == nil {
--- a/internal/exchange/trace.go
+++ b/internal/exchange/trace.go
@@ -48,7 +48,7 @@
 	attrs := []slog.Attr{
 		slog.String("request", r.x.ID), slog.String("route", route), slog.String("service", service),
 		slog.String("customer", r.customer), slog.String("endpoint", r.trace.endpoint), slog.String("zone", r.trace.zone),
-		slog.Int("sends", r.sends), slog.Int64("took_ms", took.Milliseconds()),
+		slog.Int("urgency", r.urgency), slog.Int("sends", r.sends), slog.Int64("took_ms", took.Milliseconds()),
 		slog.Int64("facts_revision", r.facts.Revision),
 		slog.Int64("facts_age_ms", r.cfg.Clock.Now().Sub(r.facts.ConfirmedAt).Milliseconds()),
 	}
