--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -6,13 +6,14 @@
 // No request is spent on finding that out.
 //
 // Endpoints are seldom lost alone: a zone is cut off or goes dark as a whole. So
-// one in doubt has the others of its zone probed too, without taking them out of
-// use until they fail to answer.
+// one in doubt has others of its zone probed too, those with work of this host
+// first, without taking them out of use until they fail to answer.
 package health
 
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -34,6 +35,11 @@
 	// probesToDown is the number of probes in a row without an answer that make
 	// an endpoint down: one may be lost on a bad link.
 	probesToDown = 2
+	// maxProbePause bounds that time, which doubles with each probe.
+	maxProbePause = 2 * time.Second
+	// sweepSize bounds the endpoints that a sweep probes: a zone of a small fleet
+	// as a whole, and few connections for each host of a large one.
+	sweepSize = 12
 	// sweepPause is the shortest time between two sweeps of a zone.
 	sweepPause = time.Second
 )
@@ -114,7 +120,8 @@
 	w.Sweep(e.Zone)
 }
 
-// Sweep probes all endpoints of a zone.
+// Sweep probes some endpoints of a zone: those with work of this host first,
+// then any.
 func (w *Watch) Sweep(zone string) {
 	now := w.cfg.Clock.Now()
 	w.mu.Lock()
@@ -125,11 +132,30 @@
 	}
 	w.swept[zone] = now
 	w.mu.Unlock()
-	for _, e := range w.cfg.Known() {
-		if e.Zone == zone {
-			w.probe(e)
+	for _, e := range w.choose(zone) {
+		w.probe(e)
+	}
+}
+
+// choose returns the endpoints of a zone that a sweep probes.
+func (w *Watch) choose(zone string) []*catalog.Endpoint {
+	var busy, idle []*catalog.Endpoint
+	known := w.cfg.Known()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range known {
+		s := w.states[e.Lifetime()]
+		switch {
+		case e.Zone != zone || s != nil && s.probing:
+		case s != nil && len(s.calls) > 0:
+			busy = append(busy, e)
+		default:
+			idle = append(idle, e)
 		}
 	}
+	rand.Shuffle(len(idle), func(i, j int) { idle[i], idle[j] = idle[j], idle[i] })
+	chosen := append(busy, idle...)
+	return chosen[:min(sweepSize, len(chosen))]
 }
 
 // While returns a context that ends with parent, and with errDown as its cause
@@ -181,6 +207,7 @@
 
 // follow probes an endpoint until it answers or is not in use any more.
 func (w *Watch) follow(e *catalog.Endpoint, s *state) {
+	pause := probePause
 	for missed := 0; ; {
 		ctx, cancel := context.WithTimeout(w.ctx, probeTimeout)
 		_, err := w.cfg.Endpoints.Report(ctx, e, true)
@@ -196,7 +223,8 @@
 			w.lose(e, s, err)
 		}
 		if missed >= probesToDown {
-			port.Sleep(w.ctx, probePause)
+			port.Sleep(w.ctx, pause)
+			pause = min(maxProbePause, 2*pause)
 		}
 	}
 }
--- a/internal/peering/ask.go
+++ b/internal/peering/ask.go
@@ -24,7 +24,7 @@
 	defer stop()
 	answer, err := link.Ask(call, host.Address, kind, payload)
 	if err != nil && ctx.Err() == nil && (a.ctx.Err() != nil || verdict.From(err).Code != verdict.CodeNoCapacity) {
-		g.suspect(id, err)
+		g.suspectGroup(id, err)
 	}
 	return answer, err
 }
@@ -71,31 +71,40 @@
 			delete(g.asking, id)
 		}
 		g.mu.Unlock()
-		g.suspect(id, err)
+		g.suspectGroup(id, err)
 		a.cancel()
 		return
 	}
 }
 
-// suspect leaves a host alone until it answers a probe or is gone.
-func (g *Group) suspect(id string, err error) {
+// suspect leaves a host alone until it answers a probe or is gone. It reports
+// whether the host was not suspected before.
+func (g *Group) suspect(id string, err error) bool {
 	g.mu.Lock()
 	known := g.suspects[id]
 	g.suspects[id] = true
 	g.mu.Unlock()
 	if known {
-		return
+		return false
 	}
 	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
 	go g.probe(id)
 	if host, ok := g.cfg.Hosts()[id]; ok && g.cfg.Suspected != nil {
 		g.cfg.Suspected(host.Zone)
 	}
-	// Hosts are often cut off together; those that may be asked next are looked
-	// at in the same moment, not one after the other.
+	return true
+}
+
+// suspectGroup suspects a host and looks at those that may be asked next: hosts
+// are often cut off together, and would be found out one after the other. These
+// lead no further, so that a host of a large fleet does not ask all others.
+func (g *Group) suspectGroup(id string, err error) {
+	if !g.suspect(id, err) {
+		return
+	}
 	for _, next := range g.Elders()[:min(len(g.Elders()), suspectedTogether)] {
 		if next != g.cfg.Self.ID {
-			go g.check(next)
+			go g.check(next, func(id string, err error) { g.suspect(id, err) })
 		}
 	}
 }
@@ -105,7 +114,7 @@
 	for g.ctx.Err() == nil {
 		port.Sleep(g.ctx, beatInterval)
 		for _, id := range g.neighbours() {
-			go g.check(id)
+			go g.check(id, g.suspectGroup)
 		}
 	}
 }
@@ -125,14 +134,14 @@
 	return append(membership.Rendezvous(near, g.cfg.Self.ID, 1), membership.Rendezvous(far, g.cfg.Self.ID, 1)...)
 }
 
-// check suspects a host that does not answer a ping.
-func (g *Group) check(id string) {
+// check pings a host and hands one that does not answer to suspect.
+func (g *Group) check(id string, suspect func(id string, err error)) {
 	host, known := g.cfg.Hosts()[id]
 	if !known {
 		return
 	}
 	if err := g.ping(g.ctx, host.Address); err != nil && g.ctx.Err() == nil {
-		g.suspect(id, err)
+		suspect(id, err)
 	}
 }
 
