Keep the bounds on connections to endpoints in the product

Cause: platform/ held how many idle connections a host keeps and for how long. Change: the host's assembly hands them in.

--- a/cmd/pimentorilld/platform.go
+++ b/cmd/pimentorilld/platform.go
@@ -58,7 +58,7 @@
 		Feed:      platform.NewStore(s.Store),
 		Decoder:   platform.Decoder(),
 		OwnKeys:   platform.OwnKeys,
-		Endpoints: platform.NewEndpoints(),
+		Endpoints: platform.NewEndpoints(entry.EndpointConnections),
 		Listen: func(server *exchange.Server) (entry.Front, error) {
 			return platform.Listen(platform.FrontConfig{Address: s.Callers, Connections: s.Connections,
 				BodyBytes: s.MemoryBytes / bodyMemory}, server, log)
