--- /dev/null
+++ b/internal/adapter/httpcall/early_test.go
@@ -0,0 +1,86 @@
+package httpcall
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+// earlyServer answers the first request of a connection as soon as its header is
+// there, and reads the body afterwards. It hands on what it read of both requests.
+func earlyServer(l net.Listener, got chan<- []byte) {
+	c, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		length := readLength(r)
+		answer := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		if i == 0 {
+			_, _ = io.WriteString(c, answer)
+		}
+		body := make([]byte, length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		if i == 1 {
+			_, _ = io.WriteString(c, answer)
+		}
+		got <- body
+	}
+}
+
+// readLength reads a request's header and returns the length of its body.
+func readLength(r *bufio.Reader) int {
+	length := 0
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return length
+		}
+		if value, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			length, _ = strconv.Atoi(strings.TrimSpace(value))
+		}
+	}
+}
+
+// An endpoint may answer before it has read a long body and keep the connection:
+// it must get the rest of that body, and then the next request from its start.
+func TestAnAnswerBeforeTheBodyIsReadLeavesTheConnectionInStep(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	got := make(chan []byte, 2)
+	go earlyServer(l, got)
+	p := New(Config{})
+	defer p.Close()
+	addr := l.Addr().String()
+	for _, fill := range []string{"a", "b"} {
+		body := bytes.Repeat([]byte(fill), 256<<10)
+		req := fasthttp.AcquireRequest()
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetRequestURI("http://" + addr + "/")
+		req.SetBody(body)
+		status := 0
+		sent, err := p.Do(context.Background(), addr, req, false, func(resp *fasthttp.Response) error {
+			status = resp.StatusCode()
+			return nil
+		})
+		fasthttp.ReleaseRequest(req)
+		is.NoErr(err)
+		is.Equal(status, fasthttp.StatusServiceUnavailable)
+		is.True(sent > len(body))
+		is.True(bytes.Equal(<-got, body))
+	}
+}
