Stay with the host that gathers the stages; the newest one follows it

The oldest host was the keeper, so that a rolling restart moved it to the host that was restarted next: three moves in ten seconds, two keepers side by side for two to three seconds each time. Change: the keeper says in its entry since when it is; hosts stay with it while it answers and does not leave, and turn to the one that started last otherwise.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -54,6 +54,9 @@
 	Started int64 `json:"started"`
 	// Leaving is set once it takes over nothing new.
 	Leaving bool `json:"leaving,omitempty"`
+	// KeeperSince is when it became the keeper of the stages, in Unix
+	// milliseconds; 0 if it has not.
+	KeeperSince int64 `json:"keeper_since,omitempty"`
 }
 
 // Snapshot is what is known at one moment. It is immutable.
--- a/internal/peering/entry.go
+++ b/internal/peering/entry.go
@@ -89,6 +89,10 @@
 
 // enter writes this host's entry under a new lease and returns the lease.
 func (g *Group) enter(ctx context.Context) (int64, error) {
+	// Another host has taken over what this one gathered.
+	g.mu.Lock()
+	g.keeperSince = 0
+	g.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	lease, err := g.cfg.Feed.Grant(call, max(leaseTime, g.cfg.MinLease))
@@ -117,6 +121,31 @@
 	return lease, nil
 }
 
+// Claim notes in this host's entry that it gathers work, so that the others stay
+// with it. Calls after the first one do nothing.
+func (g *Group) Claim() {
+	g.mu.Lock()
+	lease, revision, since := g.lease, g.revision, g.keeperSince
+	if lease == 0 || since > 0 || g.leaving {
+		g.mu.Unlock()
+		return
+	}
+	g.keeperSince = g.cfg.Clock.Now().UnixMilli()
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
+	defer cancel()
+	written, err := g.write(ctx, revision, lease)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err != nil {
+		g.keeperSince = 0
+		g.cfg.Log.Info("the others are not told that this host gathers work", slog.Any("error", err))
+		return
+	}
+	g.revision = written
+	g.cfg.Log.Info("gathers work from now on", slog.Int64("revision", written))
+}
+
 // Leave tells the other hosts that this one takes over nothing new.
 func (g *Group) Leave() {
 	g.mu.Lock()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -83,7 +83,9 @@
 	asking map[string]*asked
 	// lease and revision are those of the own entry.
 	lease, revision int64
-	leaving         bool
+	// keeperSince is when this host became the keeper, in Unix milliseconds.
+	keeperSince int64
+	leaving     bool
 }
 
 // link carries questions to addresses; *peer.Link is one.
@@ -162,8 +164,9 @@
 }
 
 // Elders returns the hosts that answer and are not leaving, this one among
-// them, the one that started first first. A host that comes back takes nothing
-// over from those that stayed.
+// them, in the order in which they are to gather work: those that do so already
+// first, then the one that started last. Hosts are often restarted in turn, and
+// the one that has just been is the last to be restarted again.
 func (g *Group) Elders() []string {
 	hosts := g.cfg.Hosts()
 	self := g.self()
@@ -180,7 +183,8 @@
 		list = list[1:]
 	}
 	slices.SortFunc(list, func(a, b facts.Host) int {
-		return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(turn(a), turn(b)), cmp.Compare(a.KeeperSince, b.KeeperSince),
+			cmp.Compare(b.Started, a.Started), cmp.Compare(a.ID, b.ID))
 	})
 	ids := make([]string, 0, len(list))
 	for _, h := range list {
@@ -189,6 +193,14 @@
 	return ids
 }
 
+// turn puts hosts that gather work before the others.
+func turn(h facts.Host) int {
+	if h.KeeperSince > 0 {
+		return 0
+	}
+	return 1
+}
+
 // Alone reports whether other hosts are known and none of them answers.
 func (g *Group) Alone() bool {
 	known := len(g.cfg.Hosts())
@@ -211,7 +223,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.cfg.Self
-	h.Leaving = g.leaving
+	h.Leaving, h.KeeperSince = g.leaving, g.keeperSince
 	return h
 }
 
--- a/internal/stagework/desk.go
+++ b/internal/stagework/desk.go
@@ -1,8 +1,8 @@
 // Package stagework has the stages of requests made. One host, the keeper,
 // gathers the pieces of all hosts into calls, so that it alone knows which
 // endpoint is free and has room; the others hand it their plans. The keeper is
-// the host that started first of those that answer; when it stops answering,
-// plans go to the next one at once.
+// the host whose entry says so; when it stops answering, plans go to the next one
+// at once.
 package stagework
 
 import (
--- a/internal/stagework/handover.go
+++ b/internal/stagework/handover.go
@@ -26,10 +26,11 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if keeper := m.keeper(nil); keeper != m.peers.Self() {
-				if n := m.desk.handOver(); n > 0 {
-					m.log.Info("plans handed over", slog.String("host", keeper), slog.Int("plans", n))
-				}
+			keeper := m.keeper(nil)
+			if keeper == m.peers.Self() {
+				m.peers.Claim()
+			} else if n := m.desk.handOver(); n > 0 {
+				m.log.Info("plans handed over", slog.String("host", keeper), slog.Int("plans", n))
 			}
 		}
 	}
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -30,10 +30,12 @@
 
 // Peers reaches the other hosts.
 type Peers interface {
-	// Elders returns the hosts that answer, this one among them, the one that
-	// started first first.
+	// Elders returns the hosts that answer, this one among them, in the order in
+	// which they are to be the keeper.
 	Elders() []string
 	Self() string
+	// Claim has the others stay with this host as their keeper.
+	Claim()
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
 	Handle(kind string, fn port.RequestHandler)
 }
