--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -36,7 +36,7 @@
 	// answer.
 	suspectedTogether = 8
 	// beatInterval is how often a host asks its neighbours whether they answer,
-	// also without work for them: the oldest host asks nobody else.
+	// also without work for them: the keeper of the stages asks nobody else.
 	beatInterval = 500 * time.Millisecond
 	// probeInterval is how often a host that did not answer is asked again.
 	probeInterval = 500 * time.Millisecond
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -121,7 +121,7 @@
 	is.Equal(g.Elders(), []string{"a", "b", "c", "d"})
 }
 
-// The oldest host asks nobody for work; its beats show it that it is cut off.
+// The keeper asks nobody for work; its beats show it that it is cut off.
 func TestAHostWithoutWorkForOthersFindsOutThatItIsAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -113,7 +113,7 @@
 	return results, err, !errors.Is(err, errHandedOver)
 }
 
-// keeper returns the host that gathers pieces: the oldest that was not tried.
+// keeper returns the host that gathers pieces: the first in their order that was not tried.
 func (m *Maker) keeper(tried map[string]bool) string {
 	for _, id := range m.peers.Elders() {
 		if !tried[id] {
