Let changes of a host's own entry follow each other

Cause: a host that becomes the keeper and leaves at once wrote its entry twice from the same revision; the second write, that it leaves, was lost. Change: one at a time. Test: those of peering under the race detector.

--- a/internal/peering/entry.go
+++ b/internal/peering/entry.go
@@ -124,6 +124,8 @@
 // Claim notes in this host's entry that it gathers work, so that the others stay
 // with it. Calls after the first one do nothing.
 func (g *Group) Claim() {
+	g.writing.Lock()
+	defer g.writing.Unlock()
 	g.mu.Lock()
 	lease, revision, since := g.lease, g.revision, g.keeperSince
 	if lease == 0 || since > 0 || g.leaving {
@@ -148,6 +150,8 @@
 
 // Leave tells the other hosts that this one takes over nothing new.
 func (g *Group) Leave() {
+	g.writing.Lock()
+	defer g.writing.Unlock()
 	g.mu.Lock()
 	g.leaving = true
 	lease, revision := g.lease, g.revision
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -75,6 +75,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// writing lets one change of the own entry follow the other.
+	writing sync.Mutex
+
 	mu   sync.Mutex
 	link link
 	// suspects holds the hosts that did not answer; each is probed until it does.
