--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -13,8 +13,9 @@
 const (
 	// defaultFirstEvent is the time to an engine's first event until it is measured.
 	defaultFirstEvent = 200 * time.Millisecond
-	// costlyTokens is the size of a shared prompt that is worth a wait for the
-	// zone whose engine keeps it: reading it anew takes about 50 ms.
+	// costlyTokens is the size of a shared prompt whose engine is taken wherever
+	// the results lie, so that they are worth a wait for its zone: reading it anew
+	// takes about 50 ms.
 	costlyTokens = 2000
 	// tokenBytes is the size of results whose way between zones costs as much as
 	// reading one prompt token anew: the users' prices, 0.26 for 1,000 tokens
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -11,8 +11,8 @@
 
 const (
 	// detour is the difference of the wait for which a plan leaves the zone that
-	// it wants; longDetour that of one whose prompt's shared parts, thousands of
-	// tokens, would be read anew elsewhere.
+	// it wants; longDetour that of one whose engine is in that zone for certain, so
+	// that its results would have to cross.
 	detour     = 100 * time.Millisecond
 	longDetour = 450 * time.Millisecond
 )
