Pass plans on from a keeper that leaves while the store is away

The keeper ended with the store away and could not say so in its entry: the others went on asking it, while it sent its own plans on. Two keepers shared the endpoints for six seconds. Change: a host that leaves passes the plans of others on, once each. Test: TestAKeeperThatLeavesPassesPlansOn.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -196,6 +196,9 @@
 	return ids
 }
 
+// Leaving reports whether this host is about to end.
+func (g *Group) Leaving() bool { return g.self().Leaving }
+
 // turn puts hosts that gather work before the others.
 func turn(h facts.Host) int {
 	if h.KeeperSince > 0 {
--- a/internal/stagework/handover_test.go
+++ b/internal/stagework/handover_test.go
@@ -71,3 +71,25 @@
 		is.NoErr(<-ended)
 	})
 }
+
+// A host that ends while the store is away can't tell the others; it passes their
+// plans on until they find out.
+func TestAKeeperThatLeavesPassesPlansOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newShop()
+		hosts := newFleet("a", "b", "c")
+		makers := make(map[string]*Maker)
+		for id, f := range hosts {
+			makers[id] = NewMaker(f, newDesk(s, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
+		}
+		hosts["a"].leaving = true
+		got, err := makers["c"].Make(context.Background(), plan("r", 2*time.Second))
+		is.NoErr(err)
+		is.Equal(got.Keeper, "b")
+		hosts["b"].leaving = true
+		got, err = makers["c"].Make(context.Background(), plan("s", 2*time.Second))
+		is.NoErr(err)
+		is.Equal(got.Keeper, "b") // a plan is passed on once
+	})
+}
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -34,6 +34,8 @@
 	// which they are to be the keeper.
 	Elders() []string
 	Self() string
+	// Leaving reports whether this host is about to end.
+	Leaving() bool
 	// Claim has the others stay with this host as their keeper.
 	Claim()
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
@@ -157,6 +159,10 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "plan can't be read")
 	}
+	if m.peers.Leaving() && !r.Plan.Moved {
+		// The asking host may not know yet, if the store is away.
+		return cbor.Marshal(runAnswer{Code: errHandedOver.Code, Message: errHandedOver.Message})
+	}
 	now := m.clock.Now()
 	r.Plan.Due, r.Plan.Last = now.Add(r.DueIn), now.Add(r.LastIn)
 	ctx, cancel := context.WithCancel(parent)
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -218,7 +218,9 @@
 	hosts map[string]*fleet
 	dead  map[string]bool
 	// absent hosts are not among those that answer.
-	absent   map[string]bool
+	absent map[string]bool
+	// leaving hosts say so when they are asked.
+	leaving  bool
 	handlers map[string]port.RequestHandler
 }
 
@@ -247,6 +249,8 @@
 
 func (f *fleet) Claim() {}
 
+func (f *fleet) Leaving() bool { return f.leaving }
+
 func (f *fleet) Handle(kind string, fn port.RequestHandler) { f.handlers[kind] = fn }
 
 func (f *fleet) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
