Set up makers in one place in the tests of the stages

Cause: three tests set up the same makers; a test outside platform/ named a field of the platform's header. Change: tests only.

--- a/internal/adapter/httpcall/early_test.go
+++ b/internal/adapter/httpcall/early_test.go
@@ -25,7 +25,7 @@
 	r := bufio.NewReader(c)
 	for i := range 2 {
 		length := readLength(r)
-		answer := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		answer := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 		if i == 0 {
 			_, _ = io.WriteString(c, answer)
 		}
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -43,7 +43,7 @@
 		<-ctx.Done()
 		return port.EndpointReport{}, errors.New("no answer")
 	}
-	time.Sleep(time.Millisecond)
+	<-time.After(time.Millisecond)
 	return port.EndpointReport{}, nil
 }
 
--- a/internal/stagework/handover_test.go
+++ b/internal/stagework/handover_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 // TestANewKeeperBeginsWhatTheOldOneHasNot fills the old keeper's endpoints and
@@ -19,10 +16,7 @@
 		is := is.New(t)
 		s := newShop()
 		hosts := newFleet("a", "b", "c")
-		makers := make(map[string]*Maker)
-		for id, f := range hosts {
-			makers[id] = NewMaker(f, newDesk(s, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
-		}
+		makers := newMakers(s, hosts)
 		hosts["c"].absent["a"] = true // "a" is gone: "b" is the keeper
 		ctx, end := context.WithCancel(context.Background())
 		defer end()
@@ -79,10 +73,7 @@
 		is := is.New(t)
 		s := newShop()
 		hosts := newFleet("a", "b", "c")
-		makers := make(map[string]*Maker)
-		for id, f := range hosts {
-			makers[id] = NewMaker(f, newDesk(s, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
-		}
+		makers := newMakers(s, hosts)
 		hosts["a"].leaving = true
 		got, err := makers["c"].Make(context.Background(), plan("r", 2*time.Second))
 		is.NoErr(err)
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -232,6 +232,15 @@
 	return hosts
 }
 
+// newMakers returns each host's maker.
+func newMakers(s *shop, hosts map[string]*fleet) map[string]*Maker {
+	makers := make(map[string]*Maker)
+	for id, f := range hosts {
+		makers[id] = NewMaker(f, newDesk(s, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
+	}
+	return makers
+}
+
 func (f *fleet) Elders() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -268,10 +277,7 @@
 		is := is.New(t)
 		s := newShop()
 		hosts := newFleet("a", "b", "c")
-		makers := make(map[string]*Maker)
-		for id, f := range hosts {
-			makers[id] = NewMaker(f, newDesk(s, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
-		}
+		makers := newMakers(s, hosts)
 		got, err := makers["c"].Make(context.Background(), plan("1", 2*time.Second))
 		is.NoErr(err)
 		is.Equal(got.Keeper, "a")
