Name the candidates for gathering the stages; say how foreign room fades

Cause: the order of hosts does not begin with the oldest any more, and a comment told of a form of fading that was tried and dropped. Change: a name and a comment.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -251,8 +251,8 @@
 	e.foreign, e.foreignStart, e.foreignAt = bytes, bytes, now
 }
 
-// fade lets go of that room with time: results of a keeper that died lie there
-// until their life is over, evenly spread over it.
+// fade lets go of that room with time, between reports and where they are too
+// coarse to tell.
 func (e *endpoint) fade(now time.Time) {
 	e.foreign = int64(math.Exp2(-float64(now.Sub(e.foreignAt))/float64(foreignHalf)) * float64(e.foreignStart))
 }
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -38,7 +38,7 @@
 
 // Peers reaches the other hosts.
 type Peers interface {
-	Elders() []string
+	Candidates() []string
 	Self() string
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
 	Handle(kind string, fn port.RequestHandler)
@@ -97,7 +97,7 @@
 func (l *List) Crashed(x *port.Exchange, endpoint string) {
 	c := crash{Print(x), endpoint}
 	go func() {
-		for _, host := range l.peers.Elders() {
+		for _, host := range l.peers.Candidates() {
 			if host == l.peers.Self() {
 				l.take(c)
 				return
--- a/internal/peering/ask.go
+++ b/internal/peering/ask.go
@@ -102,7 +102,7 @@
 	if !g.suspect(id, err) {
 		return
 	}
-	for _, next := range g.Elders()[:min(len(g.Elders()), suspectedTogether)] {
+	for _, next := range g.Candidates()[:min(len(g.Candidates()), suspectedTogether)] {
 		if next != g.cfg.Self.ID {
 			go g.check(next, func(id string, err error) { g.suspect(id, err) })
 		}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -168,11 +168,11 @@
 	return ids
 }
 
-// Elders returns the hosts that answer and are not leaving, this one among
+// Candidates returns the hosts that answer and are not leaving, this one among
 // them, in the order in which they are to gather work: those that do so already
 // first, then the one that started last. Hosts are often restarted in turn, and
 // the one that has just been is the last to be restarted again.
-func (g *Group) Elders() []string {
+func (g *Group) Candidates() []string {
 	hosts := g.cfg.Hosts()
 	self := g.self()
 	list := []facts.Host{self}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -69,7 +69,7 @@
 		link := &silent{quiet: make(map[string]bool)}
 		g := newGroup(link)
 		defer func() { g.cancel(); synctest.Wait() }()
-		is.Equal(g.Elders(), []string{"a", "b", "c", "d", "e"})
+		is.Equal(g.Candidates(), []string{"a", "b", "c", "d", "e"})
 		link.set(true, "a", "b", "c", "d")
 		began := time.Now()
 		_, err := g.Ask(context.Background(), "a", "work", nil)
@@ -77,7 +77,7 @@
 		is.True(time.Since(began) <= pingInterval+pingTimeout+time.Millisecond)
 		<-time.After(pingTimeout + time.Millisecond)
 		synctest.Wait()
-		is.Equal(g.Elders(), []string{"e"})
+		is.Equal(g.Candidates(), []string{"e"})
 		is.Equal(g.Reach(), 0.2)
 	})
 }
@@ -91,11 +91,11 @@
 		link.set(true, "a")
 		_, err := g.Ask(context.Background(), "a", "work", nil)
 		is.True(err != nil)
-		is.Equal(g.Elders()[0], "b")
+		is.Equal(g.Candidates()[0], "b")
 		link.set(false, "a")
 		<-time.After(probeInterval + pingTimeout)
 		synctest.Wait()
-		is.Equal(g.Elders()[0], "a")
+		is.Equal(g.Candidates()[0], "a")
 		is.True(len(link.reset) > 0)
 	})
 }
@@ -118,7 +118,7 @@
 	is := is.New(t)
 	g := newGroup(&silent{})
 	g.leaving = true
-	is.Equal(g.Elders(), []string{"a", "b", "c", "d"})
+	is.Equal(g.Candidates(), []string{"a", "b", "c", "d"})
 }
 
 // The keeper asks nobody for work; its beats show it that it is cut off.
@@ -150,13 +150,13 @@
 	g := newGroup(&silent{})
 	known := g.cfg.Hosts()
 	g.cfg.Self = known["a"]
-	is.Equal(g.Elders()[0], "a")
+	is.Equal(g.Candidates()[0], "a")
 	delete(known, "a")
-	is.Equal(g.Elders(), []string{"b", "c", "d", "e"})
+	is.Equal(g.Candidates(), []string{"b", "c", "d", "e"})
 	for _, id := range []string{"b", "c", "d", "e"} {
 		g.suspects[id] = true
 	}
-	is.Equal(g.Elders(), []string{"a"}) // alone it has to do its work itself
+	is.Equal(g.Candidates(), []string{"a"}) // alone it has to do its work itself
 }
 
 // feed keeps the newest value written under each key.
@@ -194,18 +194,18 @@
 	f := &feed{values: make(map[string][]byte), revision: 7}
 	g.cfg.Feed, g.cfg.Prefix = f, "own/"
 	known := g.cfg.Hosts()
-	is.Equal(g.Elders(), []string{"a", "b", "c", "d", "e"}) // the last that started first
+	is.Equal(g.Candidates(), []string{"a", "b", "c", "d", "e"}) // the last that started first
 	c := known["c"]
 	c.KeeperSince = 100
 	known["c"] = c
-	is.Equal(g.Elders(), []string{"c", "a", "b", "d", "e"})
+	is.Equal(g.Candidates(), []string{"c", "a", "b", "d", "e"})
 	fresh := known["b"]
 	fresh.Started = 1000
 	known["b"] = fresh
-	is.Equal(g.Elders(), []string{"c", "b", "a", "d", "e"})
+	is.Equal(g.Candidates(), []string{"c", "b", "a", "d", "e"})
 	c.Leaving = true
 	known["c"] = c
-	is.Equal(g.Elders(), []string{"b", "a", "d", "e"})
+	is.Equal(g.Candidates(), []string{"b", "a", "d", "e"})
 	g.Claim() // not entered yet
 	is.Equal(len(f.values), 0)
 	g.lease, g.revision = 1, 7
@@ -215,7 +215,7 @@
 	var own facts.Host
 	is.NoErr(json.Unmarshal(f.values["own/hosts/e"], &own))
 	is.True(own.KeeperSince > 0)
-	is.Equal(g.Elders()[0], "e")
+	is.Equal(g.Candidates()[0], "e")
 }
 
 // Hosts that lose the store for twelve seconds, as on the users' days, stay known
--- a/internal/stagework/maker.go
+++ b/internal/stagework/maker.go
@@ -30,9 +30,9 @@
 
 // Peers reaches the other hosts.
 type Peers interface {
-	// Elders returns the hosts that answer, this one among them, in the order in
+	// Candidates returns the hosts that answer, this one among them, in the order in
 	// which they are to be the keeper.
-	Elders() []string
+	Candidates() []string
 	Self() string
 	// Leaving reports whether this host is about to end.
 	Leaving() bool
@@ -117,7 +117,7 @@
 
 // keeper returns the host that gathers pieces: the first in their order that was not tried.
 func (m *Maker) keeper(tried map[string]bool) string {
-	for _, id := range m.peers.Elders() {
+	for _, id := range m.peers.Candidates() {
 		if !tried[id] {
 			return id
 		}
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -241,7 +241,7 @@
 	return makers
 }
 
-func (f *fleet) Elders() []string {
+func (f *fleet) Candidates() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ids []string
