Show a host's processing delay and what a missed ping ends

The logs could not tell an overloaded coordinator from a dead one, or slow calls of an endpoint from time lost on the way. A host now samples how late its timers fire (log line and histogram), a host that is suspected is logged with the requests that end with it, and a stage call with the duration expected of its endpoint.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -128,6 +128,9 @@
 // Elapsed returns the time since the call started.
 func (c *Call) Elapsed(now time.Time) time.Duration { return now.Sub(c.startedAt) }
 
+// ExpectedTime returns how long the call takes at an endpoint at full speed.
+func (c *Call) ExpectedTime() time.Duration { return c.expectedTime }
+
 // Requests returns the IDs of the requests that have pieces in the call, one for
 // each run of adjacent pieces of a request.
 func (c *Call) Requests() []string {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"github.com/pimentorill/pimentorill/internal/exchange"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/health"
+	"github.com/pimentorill/pimentorill/internal/overload"
 	"github.com/pimentorill/pimentorill/internal/peering"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
@@ -82,6 +83,7 @@
 	balancer      *balance.Balancer
 	retryBudgets  *quota.RetryBudgets
 	health        *health.Monitor
+	overload      *overload.Monitor
 	scheduler     *stagework.Scheduler
 	server        *exchange.Server
 	callerServer  CallerServer
@@ -116,6 +118,7 @@
 	n.divideLimits(defaultHosts)
 	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli()}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.scheduler.Refresh() }, Clock: clock, Log: log})
+	n.overload = overload.New(clock, log, n.metrics.Scope)
 	group, err := peering.Listen(peering.Config{Self: self, KeyPrefix: p.KeyPrefix, Store: p.Store, Clock: clock, Log: log,
 		MinLease: s.MinLease, OnSuspected: n.health.Sweep, Hosts: func() map[string]facts.Host { return n.replica.Current().Hosts }})
 	if err != nil {
@@ -146,6 +149,7 @@
 	n.startTask(ctx, group.Run)
 	n.startTask(ctx, dispatcher.Run)
 	n.startTask(ctx, n.watchIsolation)
+	n.startTask(ctx, n.overload.Run)
 	n.serveMetrics(ctx)
 	log.Info("started", slog.String("host", s.HostID), slog.String("zone", s.Zone), slog.String("callers", s.CallersAddress))
 	return n, nil
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -77,12 +77,12 @@
 		if err == nil || requests.ctx.Err() != nil {
 			continue
 		}
+		g.suspectAndPingCandidates(id, err)
 		g.mu.Lock()
 		if g.inFlight[id] == requests {
 			delete(g.inFlight, id)
 		}
 		g.mu.Unlock()
-		g.suspectAndPingCandidates(id, err)
 		requests.cancel()
 		return
 	}
@@ -94,11 +94,15 @@
 	g.mu.Lock()
 	wasSuspected := g.suspected[id]
 	g.suspected[id] = true
+	interrupted := 0
+	if requests := g.inFlight[id]; requests != nil {
+		interrupted = requests.count
+	}
 	g.mu.Unlock()
 	if wasSuspected {
 		return false
 	}
-	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Any("error", err))
+	g.cfg.Log.Warn("host does not answer", slog.String("host", id), slog.Int("requests", interrupted), slog.Any("error", err))
 	go g.pingSuspected(id)
 	if host, ok := g.cfg.Hosts()[id]; ok && g.cfg.OnSuspected != nil {
 		g.cfg.OnSuspected(host.Zone)
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -270,7 +270,7 @@
 	defer sc.mu.Unlock()
 	sc.log.Info("stage call", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
 		slog.String("zone", c.Endpoint.Zone), slog.Int("pieces", len(c.Pieces)), slog.Any("requests", c.Requests()), slog.Any("not_made", countFailures(results)),
-		slog.Int64("took_ms", c.Elapsed(sc.clock.Now()).Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.FreeBytes(c.Endpoint)))
+		slog.Int64("took_ms", c.Elapsed(sc.clock.Now()).Milliseconds()), slog.Int64("expected_ms", c.ExpectedTime().Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.FreeBytes(c.Endpoint)))
 	sc.deliverFinished(q, q.CompleteCall(sc.clock.Now(), c, results, err, notRun))
 	sc.startCalls(q)
 }
