--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -19,25 +19,33 @@
 type fakeTransport struct {
 	mu             sync.Mutex
 	unresponsive   map[string]bool // by address
+	overloaded     map[string]bool // by address
 	resetAddresses []string        // arguments of the Reset calls
 }
 
 func (f *fakeTransport) Ask(ctx context.Context, address, _ string, _ []byte) ([]byte, error) {
 	f.mu.Lock()
-	unresponsive := f.unresponsive[address]
+	unresponsive, responseTime := f.unresponsive[address], time.Millisecond
+	if f.overloaded[address] {
+		responseTime = overloadedResponseTime
+	}
 	f.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	select {
-	case <-time.After(time.Millisecond):
+	case <-time.After(responseTime):
 		return []byte{1}, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// overloadedResponseTime is how long an overloaded host takes for any response. It
+// sends other frames meanwhile.
+const overloadedResponseTime = 2 * pingTimeout
+
 func (f *fakeTransport) Reset(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -102,6 +110,22 @@
 	})
 }
 
+// Guards against taking a host that is overloaded for a dead one: its pings time out,
+// but it sends replies to other requests. To close the connection would end these
+// requests, and have other hosts run them a second time.
+func TestOverloadedHostIsNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{unresponsive: make(map[string]bool), overloaded: map[string]bool{"a": true}}
+		g := newGroup(transport)
+		defer func() { g.cancel(); synctest.Wait() }()
+		_, err := g.Ask(context.Background(), "a", "work", nil)
+		is.NoErr(err)
+		is.Equal(g.Candidates()[0], "a")
+		is.Equal(len(transport.resetAddresses), 0)
+	})
+}
+
 func TestCancelledRequestSuspectsNoHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
