Don't take an overloaded host for a dead one

Cause: a host that misses one ping of 400 ms is suspected and the connection to it closed, with all requests in flight on it.

Change: a ping fails only if no frame at all has arrived from the host since it was sent, and a plan ends at its coordinator when the connection of the host that sent it closes.

--- a/internal/adapter/peer/conn.go
+++ b/internal/adapter/peer/conn.go
@@ -55,8 +55,13 @@
 	// closed is closed by close.
 	closed    chan struct{}
 	closeOnce sync.Once
+	// ctx is cancelled by close, and when the transport is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// lastUsed is when a frame was last queued or received, in Unix nanoseconds.
 	lastUsed atomic.Int64
+	// received counts the frames received; nil for an inbound connection.
+	received *atomic.Int64
 	// handlerSlots holds one element per request of the peer that is being handled.
 	handlerSlots chan struct{}
 
@@ -79,6 +84,7 @@
 		handlerSlots:   make(chan struct{}, maxRequestsPerConn),
 		pendingReplies: make(map[uint64]chan reply),
 	}
+	c.ctx, c.cancel = context.WithCancel(t.ctx)
 	c.markUsed()
 	return c
 }
@@ -90,6 +96,7 @@
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
 		close(c.closed)
+		c.cancel()
 		_ = c.ws.Close()
 	})
 }
@@ -188,6 +195,9 @@
 		}
 		c.transport.stats.framesIn.Add(1)
 		c.markUsed()
+		if c.received != nil {
+			c.received.Add(1)
+		}
 		c.receive(f)
 	}
 }
@@ -241,11 +251,16 @@
 }
 
 // handleAndReply calls the handler and queues its reply or failure. The context of
-// the handler ends at the requester's timeout and when the transport is closed.
-func (c *conn) handleAndReply(f frame, handler handlerFunc) {
-	ctx, cancel := context.WithTimeout(c.transport.ctx, time.Duration(f.TimeoutMs)*time.Millisecond)
+// the handler ends at the requester's timeout, when the transport is closed and, for
+// HandleWhileConnected, with the connection.
+func (c *conn) handleAndReply(f frame, h handler) {
+	parent := c.transport.ctx
+	if h.whileConnected {
+		parent = c.ctx
+	}
+	ctx, cancel := context.WithTimeout(parent, time.Duration(f.TimeoutMs)*time.Millisecond)
 	defer cancel()
-	payload, err := handler(ctx, c.session.peer, f.Payload)
+	payload, err := h.fn(ctx, c.session.peer, f.Payload)
 	if err != nil {
 		c.sendFailure(f.ID, verdict.From(err))
 		return
--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -23,6 +24,8 @@
 type outboundConn struct {
 	transport *Transport
 	address   string
+	// framesReceived counts the frames received on all connections.
+	framesReceived atomic.Int64
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -196,7 +199,7 @@
 
 // dial connects and queues the pending messages, or drops them if connecting fails.
 func (o *outboundConn) dial() {
-	c, err := o.transport.connect(o.address)
+	c, err := o.transport.connect(o)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.conn, o.dialErr = c, err
@@ -210,15 +213,16 @@
 	o.dialEnded = nil
 }
 
-// connect dials an address, performs the handshake and starts the connection's loops.
-func (t *Transport) connect(address string) (*conn, error) {
-	if t.faults != nil && t.faults.Unreachable(address) {
+// connect dials the entry's address, performs the handshake and starts the
+// connection's loops.
+func (t *Transport) connect(o *outboundConn) (*conn, error) {
+	if t.faults != nil && t.faults.Unreachable(o.address) {
 		return nil, errors.New("peer: address unreachable by fault injection")
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	defer cancel()
 	t.stats.dials.Add(1)
-	ws, resp, err := t.dialer.DialContext(ctx, "ws://"+address+upgradePath, nil)
+	ws, resp, err := t.dialer.DialContext(ctx, "ws://"+o.address+upgradePath, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
@@ -235,6 +239,7 @@
 		return nil, err
 	}
 	c := t.startConn(ws, s)
+	c.received = &o.framesReceived
 	t.group.Go(c.readLoop)
 	return c, nil
 }
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -42,7 +42,12 @@
 	subprotocol = "pimentorill.peer"
 )
 
-type handlerFunc = port.RequestHandler
+// handler handles the requests of a kind. If whileConnected is set, its context also
+// ends with the connection of the requester.
+type handler struct {
+	fn             port.RequestHandler
+	whileConnected bool
+}
 
 // FaultInjector lets tests drop and delay frames and make addresses unreachable.
 // Implementations are safe for concurrent use.
@@ -75,8 +80,8 @@
 }
 
 // Transport implements port.Transport. It can send before it is started, and accepts
-// connections from then on. It is safe for concurrent use once OnMessage and Handle
-// have been called.
+// connections from then on. It is safe for concurrent use once OnMessage and the
+// handlers have been set.
 type Transport struct {
 	self       port.Member
 	listener   net.Listener
@@ -89,7 +94,7 @@
 	server    *fasthttp.Server
 	upgrader  websocket.FastHTTPUpgrader
 	dialer    websocket.Dialer
-	handlers  map[string]handlerFunc
+	handlers  map[string]handler
 	onMessage func(from port.Member, payload []byte)
 	stats     stats
 
@@ -142,7 +147,7 @@
 	t := &Transport{
 		self: cfg.Self, listener: cfg.Listener, sharedKeys: cfg.SharedKeys, maxConns: cfg.MaxConns,
 		clock: cfg.Clock, log: cfg.Log, faults: cfg.Faults,
-		handlers:  make(map[string]handlerFunc),
+		handlers:  make(map[string]handler),
 		onMessage: func(port.Member, []byte) {},
 		ctx:       ctx, cancel: cancel,
 		outbound: make(map[string]*outboundConn),
@@ -167,7 +172,13 @@
 func (t *Transport) OnMessage(fn func(from port.Member, payload []byte)) { t.onMessage = fn }
 
 // Handle implements port.Transport.
-func (t *Transport) Handle(kind string, fn port.RequestHandler) { t.handlers[kind] = fn }
+func (t *Transport) Handle(kind string, fn port.RequestHandler) { t.handlers[kind] = handler{fn: fn} }
+
+// HandleWhileConnected is like Handle, but the context of the handler also ends when
+// the connection of the requester closes: nobody gets the reply then.
+func (t *Transport) HandleWhileConnected(kind string, fn port.RequestHandler) {
+	t.handlers[kind] = handler{fn: fn, whileConnected: true}
+}
 
 // Start begins accepting connections. Call OnMessage and Handle before it.
 func (t *Transport) Start() {
@@ -262,6 +273,17 @@
 	}
 }
 
+// FramesReceived returns the number of frames that have arrived from an address on
+// outbound connections.
+func (t *Transport) FramesReceived(address string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o := t.outbound[address]; o != nil {
+		return o.framesReceived.Load()
+	}
+	return 0
+}
+
 // Stats returns a snapshot of the transport's counters.
 func (t *Transport) Stats() Stats { return t.stats.snapshot() }
 
--- a/internal/adapter/peer/transport_test.go
+++ b/internal/adapter/peer/transport_test.go
@@ -214,3 +214,34 @@
 		_, _ = decodeHello(raw)
 	})
 }
+
+// Guards against work that nobody waits for: a requester whose connection is closed
+// has another host run its plan, so the first one has to stop.
+func TestRequestEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestTransport(t, "a", nil, testKey), newTestTransport(t, "b", nil, testKey)
+	started, ended := make(chan struct{}), make(chan struct{})
+	b.HandleWhileConnected("work", func(ctx context.Context, _ port.Member, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	})
+	a.Start()
+	b.Start()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := a.Ask(ctx, b.Self().Address, "work", nil)
+		failed <- err
+	}()
+	<-started
+	a.Reset(b.Self().Address)
+	is.True(<-failed != nil)
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		t.Fatal("the handler goes on without a connection")
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -1,7 +1,8 @@
 // Package peering connects the hosts: each registers itself in the store under a
 // lease and reaches the others over authenticated connections. A host whose ping
 // or request fails is suspected and not used until it responds to a ping, even
-// while its entry exists.
+// while its entry exists. A ping fails only if nothing at all arrives from the host
+// meanwhile: a host that is overloaded responds late, but goes on sending replies.
 //
 // A host pings three kinds of other hosts: those to which it has requests in
 // flight, up to two monitored hosts, and suspected hosts.
@@ -80,11 +81,12 @@
 }
 
 // Group is this host's membership in the group of hosts. It is safe for concurrent
-// use, except for Handle.
+// use, except for Handle and HandleWhileConnected.
 type Group struct {
 	cfg      Config
 	listener net.Listener
-	handlers map[string]port.RequestHandler
+	// handlers and connectedHandlers are those of Handle and HandleWhileConnected.
+	handlers, connectedHandlers map[string]port.RequestHandler
 
 	// ctx ends when Run returns.
 	ctx    context.Context
@@ -118,6 +120,8 @@
 	Ask(ctx context.Context, address, kind string, payload []byte) ([]byte, error)
 	// Reset closes the connection to an address; the next request opens a new one.
 	Reset(address string)
+	// FramesReceived returns the number of frames that have arrived from an address.
+	FramesReceived(address string) int64
 }
 
 // hostRequests counts the requests in flight to a host. Its context ends when none
@@ -138,7 +142,7 @@
 	// Port 0 is replaced by the port that was chosen.
 	cfg.Self.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Group{cfg: cfg, ctx: ctx, cancel: cancel, listener: l, handlers: make(map[string]port.RequestHandler),
+	g := &Group{cfg: cfg, ctx: ctx, cancel: cancel, listener: l, handlers: make(map[string]port.RequestHandler), connectedHandlers: make(map[string]port.RequestHandler),
 		suspected: make(map[string]bool), inFlight: make(map[string]*hostRequests)}
 	g.Handle(kindPing, func(context.Context, port.Member, []byte) ([]byte, error) { return []byte{1}, nil })
 	return g, nil
@@ -147,6 +151,12 @@
 // Handle sets the handler for requests of a kind. It must be called before Run.
 func (g *Group) Handle(kind string, fn port.RequestHandler) { g.handlers[kind] = fn }
 
+// HandleWhileConnected is like Handle, but the context of the handler also ends when
+// the requester's connection closes.
+func (g *Group) HandleWhileConnected(kind string, fn port.RequestHandler) {
+	g.connectedHandlers[kind] = fn
+}
+
 // Run registers this host and serves the requests of the others until ctx ends,
 // then removes its entry. It must be called once.
 func (g *Group) Run(ctx context.Context) {
@@ -168,6 +178,9 @@
 	for kind, fn := range g.handlers {
 		t.Handle(kind, fn)
 	}
+	for kind, fn := range g.connectedHandlers {
+		t.HandleWhileConnected(kind, fn)
+	}
 	t.Start()
 	g.mu.Lock()
 	g.transport = t
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -20,6 +20,7 @@
 	mu             sync.Mutex
 	unresponsive   map[string]bool // by address
 	overloaded     map[string]bool // by address
+	frames         int64           // received from overloaded hosts
 	resetAddresses []string        // arguments of the Reset calls
 }
 
@@ -52,6 +53,15 @@
 	f.resetAddresses = append(f.resetAddresses, address)
 }
 
+func (f *fakeTransport) FramesReceived(address string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overloaded[address] {
+		f.frames++
+	}
+	return f.frames
+}
+
 func (f *fakeTransport) setUnresponsive(unresponsive bool, addresses ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -184,8 +184,9 @@
 	}
 }
 
-// ping sends a ping to an address. It returns an error if there is no response
-// within pingTimeout, or if this host has not joined the group yet.
+// ping sends a ping to an address. It returns an error if neither a response nor any
+// other frame arrives within pingTimeout, or if this host has not joined the group
+// yet.
 func (g *Group) ping(ctx context.Context, address string) error {
 	g.mu.Lock()
 	t := g.transport
@@ -195,7 +196,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
+	received := t.FramesReceived(address)
 	_, err := t.Ask(callCtx, address, kindPing, nil)
+	if err != nil && t.FramesReceived(address) > received {
+		return nil
+	}
 	if err != nil && ctx.Err() == nil {
 		// The connection may be broken: the next request opens a new one.
 		t.Reset(address)
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -50,6 +50,9 @@
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
 	// Handle sets the handler for requests of a kind. NewDispatcher calls it.
 	Handle(kind string, fn port.RequestHandler)
+	// HandleWhileConnected is like Handle, but the context of the handler also ends
+	// when the requester's connection closes.
+	HandleWhileConnected(kind string, fn port.RequestHandler)
 }
 
 // Dispatcher has plans run by their coordinator. It is safe for concurrent use.
@@ -69,7 +72,8 @@
 // other hosts, which run on the scheduler.
 func NewDispatcher(peers Peers, scheduler *Scheduler, clock port.Clock, log *slog.Logger) *Dispatcher {
 	d := &Dispatcher{peers: peers, scheduler: scheduler, clock: clock, log: log, running: make(map[string]context.CancelFunc)}
-	peers.Handle(kindRun, d.handleRun)
+	// A host that has lost the connection has another one run its plan.
+	peers.HandleWhileConnected(kindRun, d.handleRun)
 	peers.Handle(kindCancel, d.handleCancel)
 	peers.Handle(kindFree, d.handleFree)
 	return d
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -292,6 +292,8 @@
 
 func (f *fakePeers) Handle(kind string, fn port.RequestHandler) { f.handlers[kind] = fn }
 
+func (f *fakePeers) HandleWhileConnected(kind string, fn port.RequestHandler) { f.handlers[kind] = fn }
+
 func (f *fakePeers) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
 	f.mu.Lock()
 	unreachable := f.unreachable[host]
