--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -84,7 +84,7 @@
 	retryBudgets  *quota.RetryBudgets
 	health        *health.Monitor
 	overload      *overload.Monitor
-	scheduler     *stagework.Scheduler
+	stages        *stagework.Dispatcher
 	server        *exchange.Server
 	callerServer  CallerServer
 	group         *peering.Group
@@ -116,8 +116,8 @@
 	n.balancer = balance.New(s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack})
 	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
 	n.divideLimits(defaultHosts)
-	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli()}
-	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.scheduler.Refresh() }, Clock: clock, Log: log})
+	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli(), Cores: s.Cores, LinkMbps: s.LinkMbps}
+	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() }, Clock: clock, Log: log})
 	n.overload = overload.New(clock, log, n.metrics.Scope)
 	group, err := peering.Listen(peering.Config{Self: self, KeyPrefix: p.KeyPrefix, Store: p.Store, Clock: clock, Log: log,
 		MinLease: s.MinLease, OnSuspected: n.health.Sweep, Hosts: func() map[string]facts.Host { return n.replica.Current().Hosts }})
@@ -130,10 +130,10 @@
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		RefusedFingerprint: crashing.RefusedFingerprint, FetchFromPeer: sharing.fetchFromPeer})
 	sharing.handleRequests(n.replica)
-	n.scheduler = stagework.NewScheduler(s.HostID, s.Zone, group.ReachableShare, p.Endpoints, n.health, clock, log, n.stageService)
-	dispatcher := stagework.NewDispatcher(group, n.scheduler, clock, log)
+	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: p.Endpoints, Health: n.health, LookupService: n.stageService,
+		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
-		Stages: dispatcher, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
+		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
 		Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.callerServer, err = p.Listen(n.server); err != nil {
 		cancel()
@@ -145,9 +145,8 @@
 		return nil, err
 	}
 	n.startTask(ctx, n.replica.Run)
-	n.startTask(ctx, n.scheduler.Run)
 	n.startTask(ctx, group.Run)
-	n.startTask(ctx, dispatcher.Run)
+	n.startTask(ctx, n.stages.Run)
 	n.startTask(ctx, n.watchIsolation)
 	n.startTask(ctx, n.overload.Run)
 	n.serveMetrics(ctx)
@@ -200,6 +199,21 @@
 	return s.Config.Services[name], s.Usable[name]
 }
 
+// stageEndpoints returns the endpoints of all stage services that may be called.
+func (n *Node) stageEndpoints() []*catalog.Endpoint {
+	s := n.replica.Current()
+	if s.Config == nil {
+		return nil
+	}
+	var all []*catalog.Endpoint
+	for name, list := range s.Usable {
+		if service := s.Config.Services[name]; service != nil && service.StageLimits != nil {
+			all = append(all, list...)
+		}
+	}
+	return all
+}
+
 // Ready reports whether this host accepts new callers: it is neither stopping nor
 // isolated, and knows a configuration and usable endpoints.
 func (n *Node) Ready() bool {
@@ -225,7 +239,7 @@
 		n.divideLimits(len(s.Hosts) + spareHosts)
 	}
 	n.balancer.Prune(func(i catalog.Incarnation) bool { return s.Incarnations[i] })
-	n.scheduler.Refresh()
+	n.stages.Refresh()
 }
 
 // divideLimits divides the limits on retries and on cold endpoints among the given
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,6 +13,9 @@
 	// The addresses are of the form IP:PORT. If MetricsAddress is empty, metrics are
 	// not served.
 	CallersAddress, ReadinessAddress, PeersAddress, MetricsAddress, StoreAddress string
+	// Cores is the processor time that the host may use, in cores, and LinkMbps the
+	// bandwidth of its link; 0 if unknown.
+	Cores, LinkMbps float64
 	// MemoryBytes is the memory limit of the host.
 	MemoryBytes int64
 	// MaxConnections bounds the open connections: the number of file descriptors
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -56,9 +56,15 @@
 	StartedUnixMs int64 `json:"started"`
 	// Leaving is set once the host shuts down and takes over no more work.
 	Leaving bool `json:"leaving,omitempty"`
-	// CoordinatorSinceUnixMs is when the host became the coordinator of stage work,
-	// in Unix milliseconds; 0 if it is not the coordinator.
-	CoordinatorSinceUnixMs int64 `json:"keeper_since,omitempty"`
+	// CoordinatorSinceUnixMs is when the host became the coordinator of a group of
+	// stage endpoints, in Unix milliseconds; 0 if it coordinates none.
+	// CoordinatedGroup is the name of the group.
+	CoordinatorSinceUnixMs int64  `json:"keeper_since,omitempty"`
+	CoordinatedGroup       string `json:"keeper_of,omitempty"`
+	// Cores is the processor time that the host may use, in cores, and LinkMbps the
+	// bandwidth of its link; 0 if unknown.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Snapshot is the replicated state at one moment. It is immutable.
--- a/internal/peering/entry.go
+++ b/internal/peering/entry.go
@@ -94,7 +94,7 @@
 	// If this host was the coordinator, its entry has expired, and another host has
 	// taken over.
 	g.mu.Lock()
-	g.coordinatorSinceUnixMs = 0
+	g.coordinatorSinceUnixMs, g.coordinatedGroup = 0, ""
 	g.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
@@ -124,11 +124,12 @@
 	return lease, nil
 }
 
-// ClaimCoordination records in this host's entry that it is the coordinator, so
-// that the other hosts keep using it as such. It does nothing before the host is
-// registered, while it is leaving, or once the claim is written. It waits for the
-// store, up to callTimeout; a claim that can't be written is logged and dropped.
-func (g *Group) ClaimCoordination() {
+// ClaimCoordination records in this host's entry that it is the coordinator of a
+// group, so that the other hosts keep using it as such. It does nothing before the host
+// is registered, while it is leaving, or once a claim is written, also of another
+// group. It waits for the store, up to callTimeout; a claim that can't be written is
+// logged and dropped.
+func (g *Group) ClaimCoordination(group string) {
 	g.writeMu.Lock()
 	defer g.writeMu.Unlock()
 	g.mu.Lock()
@@ -137,7 +138,7 @@
 		g.mu.Unlock()
 		return
 	}
-	g.coordinatorSinceUnixMs = g.cfg.Clock.Now().UnixMilli()
+	g.coordinatorSinceUnixMs, g.coordinatedGroup = g.cfg.Clock.Now().UnixMilli(), group
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
 	defer cancel()
@@ -145,12 +146,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
-		g.coordinatorSinceUnixMs = 0
+		g.coordinatorSinceUnixMs, g.coordinatedGroup = 0, ""
 		g.cfg.Log.Info("coordination not announced to the other hosts", slog.Any("error", err))
 		return
 	}
 	g.revision = newRevision
-	g.cfg.Log.Info("gathers work from now on", slog.Int64("revision", newRevision))
+	g.cfg.Log.Info("gathers work from now on", slog.String("group", group), slog.Int64("revision", newRevision))
 }
 
 // AnnounceLeaving records in this host's entry that it takes over no more work. It
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -109,6 +110,8 @@
 	// coordinatorSinceUnixMs is when this host became the coordinator, in Unix
 	// milliseconds; 0 if it is not.
 	coordinatorSinceUnixMs int64
+	// coordinatedGroup is the name of the group that it coordinates.
+	coordinatedGroup string
 	// leaving is set once AnnounceLeaving is called.
 	leaving bool
 }
@@ -205,47 +208,106 @@
 	return ids
 }
 
-// Candidates returns the candidates for the coordinator in order of preference:
-// the hosts that are neither suspected nor leaving. This host is one of them,
-// unless it is leaving or unregistered and there are others. Hosts that are
-// coordinators already come first, the longest-serving one before the others,
-// then the hosts that started last: hosts are often restarted in turn, and the
-// one just restarted will be the last to be restarted again.
+// Candidates returns the hosts that are neither suspected nor leaving, in an order
+// that hosts with the same knowledge agree on: coordinators first, the longest-serving
+// one before the others, then the hosts that started last. This host is one of them,
+// unless it is leaving or unregistered and there are others.
 func (g *Group) Candidates() []string {
+	return ids(g.candidates(nil), "")
+}
+
+// Coordinators returns the candidates for the coordinator of a group of endpoints in
+// order of preference: the hosts of the zones that are neither suspected nor leaving,
+// or those of all zones if none is known in these. Hosts with more capacity come first.
+// Among equal ones the group's coordinators do, the longest-serving one before the
+// others, and last those of other groups; then the hosts that started last: hosts
+// are often restarted in turn, and the one just restarted will be the last to be
+// restarted again.
+func (g *Group) Coordinators(group string, zones []string) []string {
+	return ids(g.candidates(zones), group)
+}
+
+// candidates returns the hosts of the zones that are neither suspected nor leaving, or
+// of all zones if no host of these is known.
+func (g *Group) candidates(zones []string) []facts.Host {
 	hosts := g.cfg.Hosts()
 	self := g.selfEntry()
-	list := []facts.Host{self}
+	inZones := func(h facts.Host) bool { return len(zones) == 0 || slices.Contains(zones, h.Zone) }
+	if !inZones(self) && !anyHost(hosts, inZones) {
+		inZones = func(facts.Host) bool { return true }
+	}
+	var list []facts.Host
 	for _, id := range g.Others() {
-		if h := hosts[id]; !h.Leaving {
+		if h := hosts[id]; !h.Leaving && inZones(h) {
 			list = append(list, h)
 		}
 	}
 	// A host whose lease expired while it could not reach the store is unknown to
 	// the others. It would coordinate at the same time as the host that they use.
 	_, registered := hosts[self.ID]
-	if (self.Leaving || !registered) && len(list) > 1 {
-		list = list[1:]
+	if inZones(self) && (!self.Leaving && registered || len(list) == 0) {
+		list = append(list, self)
 	}
-	slices.SortFunc(list, func(a, b facts.Host) int {
-		return cmp.Or(cmp.Compare(coordinatorRank(a), coordinatorRank(b)), cmp.Compare(a.CoordinatorSinceUnixMs, b.CoordinatorSinceUnixMs),
-			cmp.Compare(b.StartedUnixMs, a.StartedUnixMs), cmp.Compare(a.ID, b.ID))
+	return list
+}
+
+func anyHost(hosts map[string]facts.Host, matches func(facts.Host) bool) bool {
+	for _, h := range hosts {
+		if matches(h) {
+			return true
+		}
+	}
+	return false
+}
+
+// ids sorts the candidates for the coordinator of a group, or of any group if the
+// name is empty, and returns their ids.
+func ids(candidates []facts.Host, group string) []string {
+	slices.SortFunc(candidates, func(a, b facts.Host) int {
+		return cmp.Or(compareCapacity(a, b, group), cmp.Compare(coordinatorRank(a, group), coordinatorRank(b, group)),
+			cmp.Compare(a.CoordinatorSinceUnixMs, b.CoordinatorSinceUnixMs), cmp.Compare(b.StartedUnixMs, a.StartedUnixMs), cmp.Compare(a.ID, b.ID))
 	})
-	ids := make([]string, 0, len(list))
-	for _, h := range list {
-		ids = append(ids, h.ID)
+	out := make([]string, 0, len(candidates))
+	for _, h := range candidates {
+		out = append(out, h.ID)
 	}
-	return ids
+	return out
+}
+
+// compareCapacity sorts hosts with more processor time before others, then those with
+// more bandwidth. Only powers of two count: smaller differences are not worth a change
+// of the coordinator.
+func compareCapacity(a, b facts.Host, group string) int {
+	if group == "" {
+		return 0
+	}
+	return cmp.Or(cmp.Compare(magnitude(b.Cores), magnitude(a.Cores)), cmp.Compare(magnitude(b.LinkMbps), magnitude(a.LinkMbps)))
+}
+
+// magnitude returns the binary logarithm, rounded down; the smallest number for 0,
+// which stands for an unknown capacity.
+func magnitude(x float64) int {
+	if x <= 0 {
+		return math.MinInt
+	}
+	return int(math.Floor(math.Log2(x)))
 }
 
 // ShuttingDown reports whether AnnounceLeaving was called.
 func (g *Group) ShuttingDown() bool { return g.selfEntry().Leaving }
 
-// coordinatorRank sorts coordinators before the other hosts.
-func coordinatorRank(h facts.Host) int {
-	if h.CoordinatorSinceUnixMs > 0 {
+// coordinatorRank sorts the coordinators of a group before the hosts that coordinate
+// none, and these before the coordinators of other groups. If the group is empty, all
+// coordinators come first.
+func coordinatorRank(h facts.Host, group string) int {
+	switch {
+	case h.CoordinatorSinceUnixMs == 0:
+		return 1
+	case group == "" || h.CoordinatedGroup == group:
 		return 0
+	default:
+		return 2
 	}
-	return 1
 }
 
 // NoPeerResponds reports whether other hosts are known and all of them are
@@ -258,14 +320,23 @@
 	return known > 0 && len(g.Others()) == 0
 }
 
-// ReachableShare returns the share, from 0 to 1, of the known hosts, including this
-// one, that are not suspected.
-func (g *Group) ReachableShare() float64 {
-	known := len(g.cfg.Hosts())
-	if _, registered := g.cfg.Hosts()[g.cfg.Self.ID]; !registered {
+// ReachableShare returns the share, from 0 to 1, of the known hosts of the zones (of
+// all hosts without zones) that are not suspected. This host counts as one of them.
+func (g *Group) ReachableShare(zones []string) float64 {
+	hosts := g.cfg.Hosts()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	known, reachable := 1, 1
+	for id, h := range hosts {
+		if id == g.cfg.Self.ID || len(zones) > 0 && !slices.Contains(zones, h.Zone) {
+			continue
+		}
 		known++
+		if !g.suspected[id] {
+			reachable++
+		}
 	}
-	return float64(len(g.Others())+1) / float64(known)
+	return float64(reachable) / float64(known)
 }
 
 // selfEntry returns the entry of this host as it should be in the store.
@@ -273,7 +344,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := g.cfg.Self
-	h.Leaving, h.CoordinatorSinceUnixMs = g.leaving, g.coordinatorSinceUnixMs
+	h.Leaving, h.CoordinatorSinceUnixMs, h.CoordinatedGroup = g.leaving, g.coordinatorSinceUnixMs, g.coordinatedGroup
 	return h
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -98,7 +98,7 @@
 		<-time.After(pingTimeout + time.Millisecond)
 		synctest.Wait()
 		is.Equal(g.Candidates(), []string{"e"})
-		is.Equal(g.ReachableShare(), 0.2)
+		is.Equal(g.ReachableShare(nil), 0.2)
 	})
 }
 
@@ -244,11 +244,11 @@
 	c.Leaving = true
 	known["c"] = c
 	is.Equal(g.Candidates(), []string{"b", "a", "d", "e"})
-	g.ClaimCoordination() // no effect: not registered yet
+	g.ClaimCoordination("kranj") // no effect: not registered yet
 	is.Equal(len(f.values), 0)
 	g.lease, g.revision = 1, 7
-	g.ClaimCoordination()
-	g.ClaimCoordination()
+	g.ClaimCoordination("kranj")
+	g.ClaimCoordination("kranj")
 	is.Equal(f.revision, int64(8)) // written once
 	var ownEntry facts.Host
 	is.NoErr(json.Unmarshal(f.values["own/hosts/e"], &ownEntry))
@@ -270,3 +270,60 @@
 	is.True(f.ttl >= 12*time.Second+2*leaseRenewInterval)
 	is.Equal(len(f.values), 1)
 }
+
+// zonedGroup returns the Group of host a1, which knows six hosts of three zones. The
+// hosts of each zone started in the order of their names.
+func zonedGroup() *Group {
+	g := newGroup(&fakeTransport{})
+	known := g.cfg.Hosts()
+	clear(known)
+	for i, id := range []string{"a1", "a2", "a3", "b1", "b2", "c1"} {
+		known[id] = facts.Host{ID: id, Address: id, Zone: id[:1], StartedUnixMs: int64(i), Cores: 0.2, LinkMbps: 10}
+	}
+	g.cfg.Self = known["a1"]
+	return g
+}
+
+func TestCoordinatorIsAHostOfTheGroupsZones(t *testing.T) {
+	is := is.New(t)
+	g := zonedGroup()
+	is.Equal(g.Coordinators("a", []string{"a"}), []string{"a3", "a2", "a1"})
+	is.Equal(g.Coordinators("b+c", []string{"b", "c"}), []string{"c1", "b2", "b1"})
+	is.Equal(len(g.Coordinators("d", []string{"d"})), 6) // no host in the zone: all are candidates
+	g.suspected["b1"], g.suspected["b2"] = true, true
+	is.Equal(len(g.Coordinators("b", []string{"b"})), 0) // partitioned hosts keep their endpoints
+	is.Equal(g.ReachableShare([]string{"b"}), 1.0/3)     // this host counts
+	is.Equal(g.ReachableShare([]string{"a"}), 1.0)
+}
+
+// Guards against a coordinator on one of the smallest hosts while larger ones are idle.
+func TestHostWithMoreCapacityCoordinates(t *testing.T) {
+	is := is.New(t)
+	g := zonedGroup()
+	known := g.cfg.Hosts()
+	set := func(id string, change func(*facts.Host)) {
+		h := known[id]
+		change(&h)
+		known[id] = h
+	}
+	set("a2", func(h *facts.Host) { h.CoordinatorSinceUnixMs, h.CoordinatedGroup = 5, "a" })
+	is.Equal(g.Coordinators("a", []string{"a"}), []string{"a2", "a3", "a1"})
+	set("a3", func(h *facts.Host) { h.Cores = 0.24 }) // not worth a change
+	is.Equal(g.Coordinators("a", []string{"a"})[0], "a2")
+	set("a3", func(h *facts.Host) { h.Cores = 0.8 })
+	is.Equal(g.Coordinators("a", []string{"a"}), []string{"a3", "a2", "a1"})
+	set("a2", func(h *facts.Host) { h.Cores, h.LinkMbps = 0.8, 100 })
+	is.Equal(g.Coordinators("a", []string{"a"}), []string{"a2", "a3", "a1"})
+}
+
+// Two groups of one zone have two coordinators.
+func TestCoordinatorOfAnotherGroupComesLast(t *testing.T) {
+	is := is.New(t)
+	g := zonedGroup()
+	known := g.cfg.Hosts()
+	h := known["a3"]
+	h.CoordinatorSinceUnixMs, h.CoordinatedGroup = 5, "a"
+	known["a3"] = h
+	is.Equal(g.Coordinators("a", []string{"a"})[0], "a3")
+	is.Equal(g.Coordinators("a/1", []string{"a"}), []string{"a2", "a1", "a3"})
+}
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -111,21 +112,28 @@
 }
 
 // suspectAndPingCandidates suspects a host and, unless it was suspected before,
-// pings the first maxCandidatePings candidates: hosts are often partitioned
-// together and would otherwise be detected one after the other. A candidate whose
-// ping fails is suspected but causes no further pings, so that a host in a large
+// pings the first maxCandidatePings candidates of its zone and of all: hosts are
+// often partitioned together and would otherwise be detected one after the other. A
+// candidate whose ping fails is suspected but causes no further pings, so that a host in a large
 // group does not ping all others.
 func (g *Group) suspectAndPingCandidates(id string, err error) {
 	if !g.suspect(id, err) {
 		return
 	}
-	for _, candidate := range g.Candidates()[:min(len(g.Candidates()), maxCandidatePings)] {
+	candidates := firstOf(g.Candidates(), maxCandidatePings)
+	if host, known := g.cfg.Hosts()[id]; known {
+		candidates = append(candidates, firstOf(g.Coordinators(host.CoordinatedGroup, []string{host.Zone}), maxCandidatePings)...)
+	}
+	slices.Sort(candidates)
+	for _, candidate := range slices.Compact(candidates) {
 		if candidate != g.cfg.Self.ID {
 			go g.pingHost(candidate, func(id string, err error) { g.suspect(id, err) })
 		}
 	}
 }
 
+func firstOf(ids []string, n int) []string { return ids[:min(len(ids), n)] }
+
 // pingMonitoredHosts pings the monitored hosts of this host at
 // monitoredPingInterval until g.ctx ends.
 func (g *Group) pingMonitoredHosts() {
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -36,6 +36,7 @@
 func (sc *Scheduler) admit(p *Plan) (time.Duration, error) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	p.admittedLate = false
 	now := sc.clock.Now()
 	forecast, err := sc.forecast(p, sc.committed, 1)
 	if err != nil {
@@ -117,6 +118,20 @@
 	return total, nil
 }
 
+// backlog returns how long the pieces committed before those of a plan of the same
+// kind take, at the stage where that is longest.
+func (sc *Scheduler) backlog(p *Plan) time.Duration {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	longest := time.Duration(0)
+	for _, s := range p.Stages {
+		if q := sc.queues[s.Service]; q != nil && s.Pieces > 0 {
+			longest = max(longest, drainTime(q.Limits(), sc.committed.pieces(s.Service, p.Priority), q.EffectiveEndpoints(sc.clock.Now(), "")))
+		}
+	}
+	return longest
+}
+
 // observeForecast updates the forecast ratio of the plan's priority with its actual
 // duration. It ignores plans admitted late, because the forecast is that of a plan
 // in time.
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -9,7 +9,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -24,8 +26,7 @@
 )
 
 const (
-	// maxCoordinators bounds the number of candidates that a plan is offered to
-	// before this host runs it itself.
+	// maxCoordinators bounds the number of coordinators that a plan is sent to.
 	maxCoordinators = 3
 	// noticeTimeout bounds a notice to a coordinator that results or a plan are
 	// no longer needed.
@@ -34,17 +35,21 @@
 
 // Peers connects to the other hosts. Implementations are safe for concurrent use.
 type Peers interface {
-	// Candidates returns the IDs of the hosts that respond and are not shutting
-	// down, in the order in which they become the coordinator. It may include this
-	// host.
-	Candidates() []string
+	// Coordinators returns the IDs of the hosts that respond and are not shutting
+	// down, in the order in which they become the coordinator of a group. They are
+	// hosts of the given zones, or of all zones if none is known there. It may include
+	// this host.
+	Coordinators(group string, zones []string) []string
 	// Self returns this host's ID.
 	Self() string
+	// ReachableShare returns the share, from 0 to 1, of the known hosts of the zones
+	// that this host reaches.
+	ReachableShare(zones []string) float64
 	// ShuttingDown reports whether this host is about to stop.
 	ShuttingDown() bool
-	// ClaimCoordination tells the other hosts to keep this host as their
-	// coordinator. Dispatcher.Run calls it at every poll of the coordinator's host.
-	ClaimCoordination()
+	// ClaimCoordination tells the other hosts to keep this host as the coordinator of
+	// a group. Dispatcher.Run calls it at every poll of the coordinator's host.
+	ClaimCoordination(group string)
 	// Ask sends a request to another host and returns its response. The error is a
 	// *verdict.Error.
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
@@ -55,27 +60,52 @@
 	HandleWhileConnected(kind string, fn port.RequestHandler)
 }
 
-// Dispatcher has plans run by their coordinator. It is safe for concurrent use.
+// Config holds the dependencies of a Dispatcher.
+type Config struct {
+	Peers Peers
+	// Zone is the availability zone of this host.
+	Zone      string
+	Endpoints port.EndpointClient
+	Health    *health.Monitor
+	// LookupService returns a service and its endpoints that may be called; nil if the
+	// service is unknown.
+	LookupService func(service string) (*catalog.Service, []*catalog.Endpoint)
+	// StageEndpoints returns the endpoints of all stage services that may be called.
+	StageEndpoints func() []*catalog.Endpoint
+	// Overloaded reports whether this host's processor does not keep up.
+	Overloaded func() bool
+	Clock      port.Clock
+	Log        *slog.Logger
+}
+
+// Dispatcher has plans run by the coordinator of a group of endpoints. It is safe for
+// concurrent use.
 type Dispatcher struct {
-	peers     Peers
-	scheduler *Scheduler
-	clock     port.Clock
-	log       *slog.Logger
+	cfg Config
 
 	mu sync.Mutex
 	// running holds the cancel functions of the plans run for other hosts, by
 	// request ID.
 	running map[string]context.CancelFunc
+	// division is that of endpointIDs; nil before the first use.
+	division    division
+	endpointIDs []string
+	// schedulers holds the schedulers of the groups that this host has run plans of, by
+	// group name. runContext is that of Run, nil before.
+	schedulers map[string]*Scheduler
+	runContext context.Context
+	// states holds what this host knows of the groups, by name.
+	states map[string]*groupState
 }
 
 // NewDispatcher returns a Dispatcher and registers its handlers for requests of
-// other hosts, which run on the scheduler.
-func NewDispatcher(peers Peers, scheduler *Scheduler, clock port.Clock, log *slog.Logger) *Dispatcher {
-	d := &Dispatcher{peers: peers, scheduler: scheduler, clock: clock, log: log, running: make(map[string]context.CancelFunc)}
+// other hosts.
+func NewDispatcher(cfg Config) *Dispatcher {
+	d := &Dispatcher{cfg: cfg, running: make(map[string]context.CancelFunc), schedulers: make(map[string]*Scheduler), states: make(map[string]*groupState)}
 	// A host that has lost the connection has another one run its plan.
-	peers.HandleWhileConnected(kindRun, d.handleRun)
-	peers.Handle(kindCancel, d.handleCancel)
-	peers.Handle(kindFree, d.handleFree)
+	cfg.Peers.HandleWhileConnected(kindRun, d.handleRun)
+	cfg.Peers.Handle(kindCancel, d.handleCancel)
+	cfg.Peers.Handle(kindFree, d.handleFree)
 	return d
 }
 
@@ -85,6 +115,8 @@
 	Plan           Plan          `cbor:"1,keyasint"`
 	SoftDeadlineIn time.Duration `cbor:"2,keyasint"`
 	HardDeadlineIn time.Duration `cbor:"3,keyasint"`
+	// Group is the name of the group whose endpoints run the plan.
+	Group string `cbor:"4,keyasint,omitempty"`
 }
 
 // runResponse is the outcome of a plan: its results, or an error if Code is set.
@@ -93,88 +125,148 @@
 	Code       verdict.Code  `cbor:"2,keyasint,omitempty"`
 	Message    string        `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	// Backlog is how long plans of the same kind wait in the group.
+	Backlog time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // freeRequest asks a coordinator to free results.
 type freeRequest struct {
 	Handles []string `cbor:"1,keyasint"`
+	// Group is the name of the group that accounts for them.
+	Group string `cbor:"2,keyasint,omitempty"`
 }
 
-// Execute has a plan run by the coordinator, or by this host if none of the
-// candidates completes or refuses it. It sets p.HandedOver if a candidate hands the
-// plan over. The error is a *verdict.Error with NotRun: the pieces may be run again.
+// errOverloaded is the refusal of a plan by a coordinator whose processor does not
+// keep up.
+var errOverloaded = verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "coordinator is overloaded").WithRetryAfter(minRetryAfter)
+
+// Execute has a plan run by the coordinator of one group, in order of preference, or
+// by this host if no coordinator responds. A plan that a group has no capacity for is
+// passed on to another one. It sets p.HandedOver if a coordinator hands the plan over.
+// The error is a *verdict.Error with NotRun: the pieces may be run again.
 func (d *Dispatcher) Execute(ctx context.Context, p *Plan) (Results, error) {
-	tried := make(map[string]bool)
+	var refusal error // the first refusal for lack of capacity
+	tried := make(map[target]bool)
 	for range maxCoordinators {
-		coordinator := d.coordinator(tried)
-		if tried[coordinator] {
+		t, ok := d.chooseTarget(p, tried, refusal != nil)
+		if !ok {
 			break
 		}
-		tried[coordinator] = true
-		results, err, settled := d.executeAt(ctx, coordinator, p)
-		if settled {
-			return results, err
+		tried[t] = true
+		results, err := d.executeAt(ctx, t, p)
+		if err == nil {
+			return results, nil
 		}
 		if ctx.Err() != nil {
 			return Results{}, verdict.Wrap(ctx.Err(), verdict.CodeCallerCancelled, verdict.NotRun, "stages were cancelled")
 		}
-		p.HandedOver = p.HandedOver || verdict.From(err).Code == verdict.CodeNotReady
-		d.log.Warn("keeper of the stages did not settle a plan", slog.String("request", p.Request), slog.String("host", coordinator),
-			slog.Bool("handed_over", p.HandedOver), slog.Any("error", err))
+		var final *finalError
+		switch {
+		case errors.As(err, &final):
+			return Results{}, final.error
+		case isRefusal(err):
+			if refusal == nil {
+				refusal = err
+			}
+		default:
+			p.HandedOver = p.HandedOver || verdict.From(err).Code == verdict.CodeNotReady
+			d.cfg.Log.Warn("keeper of the stages did not settle a plan", slog.String("request", p.Request), slog.String("group", t.group), slog.String("host", t.host),
+				slog.Bool("handed_over", p.HandedOver), slog.Any("error", err))
+		}
+	}
+	if refusal != nil {
+		return Results{}, refusal
 	}
-	return d.scheduler.Execute(ctx, p)
+	g := d.currentDivision().ofZone(d.cfg.Zone)
+	return d.scheduler(groupName(g)).Execute(ctx, p)
+}
+
+// finalError wraps an outcome that no other coordinator would change.
+type finalError struct{ error }
+
+// Unwrap returns the wrapped error.
+func (e *finalError) Unwrap() error { return e.error }
+
+// isRefusal reports whether a coordinator refused a plan for lack of capacity.
+func isRefusal(err error) bool {
+	e := verdict.From(err)
+	return e.Code == verdict.CodeNoCapacity && e.RetryAfter > 0
 }
 
-// executeAt has the plan run by the given host, which may be this one. settled
-// says that results and err are final, so that no other host should be asked.
-func (d *Dispatcher) executeAt(ctx context.Context, coordinator string, p *Plan) (results Results, err error, settled bool) {
-	if coordinator != d.peers.Self() {
-		return d.executeRemotely(ctx, coordinator, p)
+// executeAt has the plan run by a coordinator, which may be this host. The error is a
+// *finalError, errHandedOver, a refusal, or that of a coordinator that did not
+// respond.
+func (d *Dispatcher) executeAt(ctx context.Context, t target, p *Plan) (Results, error) {
+	if t.host != d.cfg.Peers.Self() {
+		return d.executeRemotely(ctx, t, p)
+	}
+	results, backlog, err := d.executeHere(ctx, t.group, p)
+	d.recordBacklog(t.group, p.Priority, backlog)
+	switch {
+	case err == nil:
+		return results, nil
+	case errors.Is(err, errHandedOver):
+		return Results{}, err
+	case isRefusal(err):
+		d.recordRefusal(t.group)
+		return Results{}, err
+	default:
+		return Results{}, &finalError{err}
 	}
-	results, err = d.scheduler.Execute(ctx, p)
-	return results, err, !errors.Is(err, errHandedOver)
 }
 
-// coordinator returns the ID of the first candidate that has not been tried, or
-// this host's ID if all have been.
-func (d *Dispatcher) coordinator(tried map[string]bool) string {
-	for _, id := range d.peers.Candidates() {
-		if !tried[id] {
-			return id
-		}
+// executeHere runs a plan on this host's scheduler of a group, and returns how long
+// plans of the same kind wait in the group.
+func (d *Dispatcher) executeHere(ctx context.Context, group string, p *Plan) (Results, time.Duration, error) {
+	if d.cfg.Overloaded() {
+		return Results{}, overloadBacklog, errOverloaded
 	}
-	return d.peers.Self()
+	sc := d.scheduler(group)
+	results, err := sc.Execute(ctx, p)
+	results.Group = group
+	return results, sc.backlog(p), err
 }
 
 // executeRemotely sends the plan to another host and waits for the outcome until
-// the plan's hard deadline. settled is as in executeAt. If ctx or that deadline
-// ends first, it has the other host cancel the plan.
-func (d *Dispatcher) executeRemotely(ctx context.Context, coordinator string, p *Plan) (results Results, err error, settled bool) {
-	now := d.clock.Now()
-	payload, err := cbor.Marshal(runRequest{*p, p.SoftDeadline.Sub(now), p.HardDeadline.Sub(now)})
+// the plan's hard deadline. If ctx or that deadline ends first, it has the other host
+// cancel the plan. The error is as in executeAt.
+func (d *Dispatcher) executeRemotely(ctx context.Context, t target, p *Plan) (Results, error) {
+	now := d.cfg.Clock.Now()
+	payload, err := cbor.Marshal(runRequest{*p, p.SoftDeadline.Sub(now), p.HardDeadline.Sub(now), t.group})
 	if err != nil {
-		return Results{}, verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode plan"), true
+		return Results{}, &finalError{verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode plan")}
 	}
 	askCtx, cancel := context.WithDeadline(ctx, p.HardDeadline)
 	defer cancel()
-	encoded, err := d.peers.Ask(askCtx, coordinator, kindRun, payload)
+	encoded, err := d.cfg.Peers.Ask(askCtx, t.host, kindRun, payload)
 	if err != nil {
 		if askCtx.Err() != nil {
-			d.notify(coordinator, kindCancel, []byte(p.Request))
+			d.notify(t.host, kindCancel, []byte(p.Request))
 		}
 		if ctx.Err() == nil && askCtx.Err() != nil {
-			return Results{}, verdict.New(verdict.CodeDeadlineExceeded, verdict.NotRun, "stages were not done in time"), true
+			return Results{}, &finalError{verdict.New(verdict.CodeDeadlineExceeded, verdict.NotRun, "stages were not done in time")}
 		}
-		return Results{}, err, false
+		d.recordNoResponse(t.group)
+		return Results{}, err
 	}
 	var response runResponse
 	if err := cbor.Unmarshal(encoded, &response); err != nil {
-		return Results{}, err, false
+		return Results{}, err
+	}
+	d.recordBacklog(t.group, p.Priority, response.Backlog)
+	if response.Code == "" {
+		return response.Results, nil
 	}
-	if response.Code != "" {
-		return Results{}, verdict.New(response.Code, verdict.NotRun, response.Message).WithRetryAfter(response.RetryAfter), response.Code != verdict.CodeNotReady
+	err = verdict.New(response.Code, verdict.NotRun, response.Message).WithRetryAfter(response.RetryAfter)
+	switch {
+	case response.Code == verdict.CodeNotReady:
+		return Results{}, err
+	case isRefusal(err):
+		d.recordRefusal(t.group)
+		return Results{}, err
+	default:
+		return Results{}, &finalError{err}
 	}
-	return response.Results, nil, true
 }
 
 // handleRun runs another host's plan on this host's scheduler. Its response carries
@@ -184,26 +276,26 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "plan can't be read")
 	}
-	if d.peers.ShuttingDown() && !r.Plan.HandedOver {
+	if d.cfg.Peers.ShuttingDown() && !r.Plan.HandedOver {
 		// The requesting host may not have learned of the shutdown if the store is
 		// unavailable. It asks the next candidate.
 		return cbor.Marshal(runResponse{Code: errHandedOver.Code, Message: errHandedOver.Message})
 	}
-	now := d.clock.Now()
+	now := d.cfg.Clock.Now()
 	r.Plan.SoftDeadline, r.Plan.HardDeadline = now.Add(r.SoftDeadlineIn), now.Add(r.HardDeadlineIn)
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	d.mu.Lock()
 	d.running[r.Plan.Request] = cancel
 	d.mu.Unlock()
-	results, err := d.scheduler.Execute(ctx, &r.Plan)
+	results, backlog, err := d.executeHere(ctx, d.groupOrOwn(r.Group), &r.Plan)
 	d.mu.Lock()
 	delete(d.running, r.Plan.Request)
 	d.mu.Unlock()
-	response := runResponse{Results: results}
+	response := runResponse{Results: results, Backlog: backlog}
 	if err != nil {
 		e := verdict.From(err)
-		response = runResponse{Code: e.Code, Message: e.Message, RetryAfter: e.RetryAfter}
+		response.Code, response.Message, response.RetryAfter = e.Code, e.Message, e.RetryAfter
 	}
 	return cbor.Marshal(response)
 }
@@ -224,7 +316,7 @@
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "results can't be read")
 	}
-	d.scheduler.Free(r.Handles)
+	d.scheduler(d.groupOrOwn(r.Group)).Free(r.Handles)
 	return []byte{1}, nil
 }
 
@@ -233,13 +325,13 @@
 	if len(r.Handles) == 0 {
 		return
 	}
-	if r.Coordinator == d.peers.Self() {
-		d.scheduler.Free(r.Handles)
+	if r.Coordinator == d.cfg.Peers.Self() {
+		d.scheduler(r.Group).Free(r.Handles)
 		return
 	}
-	payload, err := cbor.Marshal(freeRequest{r.Handles})
+	payload, err := cbor.Marshal(freeRequest{r.Handles, r.Group})
 	if err != nil {
-		d.log.Error("request to free results cannot be encoded, results stay stored until they expire", slog.Any("error", err))
+		d.cfg.Log.Error("request to free results cannot be encoded, results stay stored until they expire", slog.Any("error", err))
 		return
 	}
 	d.notify(r.Coordinator, kindFree, payload)
@@ -250,8 +342,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
-		if _, err := d.peers.Ask(ctx, coordinator, kind, payload); err != nil {
-			d.log.Info("notice to the stage coordinator failed", slog.String("kind", kind), slog.String("host", coordinator), slog.Any("error", err))
+		if _, err := d.cfg.Peers.Ask(ctx, coordinator, kind, payload); err != nil {
+			d.cfg.Log.Info("notice to the stage coordinator failed", slog.String("kind", kind), slog.String("host", coordinator), slog.Any("error", err))
 		}
 	}()
 }
--- a/internal/stagework/division_test.go
+++ b/internal/stagework/division_test.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
+	"regexp"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
-	"github.com/pimentorill/pimentorill/internal/health"
-	"github.com/pimentorill/pimentorill/internal/port"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 )
 
 // busiestShare has every host of a fleet send the same number of plans, and returns
@@ -102,10 +102,152 @@
 		return service, byService[name]
 	}
 	f.peers = newFakePeers(ids...)
-	log := slog.New(slog.DiscardHandler)
 	for id, p := range f.peers {
-		monitor := health.New(health.Config{Client: f.endpoints, UsableEndpoints: func() []*catalog.Endpoint { return all }, OnChange: func() {}, Clock: port.SystemClock{}, Log: log})
-		f.dispatchers[id] = NewDispatcher(p, NewScheduler(id, f.zoneOf[id], func() float64 { return 1 }, f.endpoints, monitor, port.SystemClock{}, log, lookup), port.SystemClock{}, log)
+		p.zones = f.zoneOf
+		f.dispatchers[id] = newTestDispatcher(f.endpoints, p, f.zoneOf[id], lookup, func() []*catalog.Endpoint { return all })
 	}
 	return f
 }
+
+// manyEndpoints returns n endpoints of each service in a zone.
+func manyEndpoints(zone string, n int, services ...string) []*catalog.Endpoint {
+	var out []*catalog.Endpoint
+	for _, service := range services {
+		for i := range n {
+			out = append(out, &catalog.Endpoint{ID: fmt.Sprint(zone, "-", service, "-", i), Service: service, Zone: zone})
+		}
+	}
+	return out
+}
+
+func TestZonesWithFewEndpointsShareAGroup(t *testing.T) {
+	is := is.New(t)
+	endpoints := slices.Concat(manyEndpoints("kranj", 2, "encode", "rank"), manyEndpoints("celje", 3, "encode"), manyEndpoints("ljubljana", 5, "encode", "rank"))
+	got := divide(endpoints)
+	is.Equal(got.names(), []string{"celje+kranj", "ljubljana"})
+	is.Equal(got[0].zones, []string{"celje", "kranj"})
+	is.Equal(len(got[0].members), 7)
+	is.Equal(len(got[1].members), 10)
+	is.Equal(got.ofZone("kranj").name, "celje+kranj")
+	is.Equal(got.ofZone("maribor").name, "celje+kranj") // a zone without endpoints
+	is.Equal(divide(nil).ofZone("kranj"), nil)
+}
+
+// Guards against groups that grow with the endpoints of a zone, or with the number of
+// small zones, and against groups that lack a service.
+func TestGroupsAreBoundedAndHaveAllServices(t *testing.T) {
+	is := is.New(t)
+	endpoints := manyEndpoints("kranj", 50, "encode", "rank", "print")
+	for i := range 20 {
+		endpoints = append(endpoints, manyEndpoints(fmt.Sprint("small-", i), 2, "encode", "rank")...)
+	}
+	seen := make(map[string]int)
+	for _, g := range divide(endpoints) {
+		is.True(len(g.members) <= maxGroupEndpoints)
+		services := make(map[string]bool)
+		for id := range g.members {
+			seen[id]++
+			services[regexp.MustCompile("encode|rank|print").FindString(id)] = true
+		}
+		is.True(services["encode"] && services["rank"])
+	}
+	is.Equal(len(seen), len(endpoints)) // each endpoint is in one group
+	for _, n := range seen {
+		is.Equal(n, 1)
+	}
+}
+
+func TestLostEndpointMovesFewOthersToAnotherGroup(t *testing.T) {
+	is := is.New(t)
+	endpoints := manyEndpoints("kranj", 20, "encode", "rank")
+	before := divide(endpoints)
+	after := divide(endpoints[1:])
+	is.Equal(len(before), 2)
+	moved := 0
+	for _, e := range endpoints[1:] {
+		if before.groupOf(e.ID) != after.groupOf(e.ID) {
+			moved++
+		}
+	}
+	is.True(moved <= len(endpoints)/4)
+}
+
+// groupOf returns the name of the group with an endpoint.
+func (d division) groupOf(id string) string {
+	for _, g := range d {
+		if g.members[id] {
+			return g.name
+		}
+	}
+	return ""
+}
+
+// A service without endpoints in a zone must not make the zone's group useless.
+func TestServiceMissingInAGroupIsShared(t *testing.T) {
+	is := is.New(t)
+	encode := manyEndpoints("kranj", 10, "encode")
+	rank := manyEndpoints("celje", 10, "rank")
+	g := divide(slices.Concat(encode, rank)).named("kranj")
+	is.Equal(g.endpointsOf(encode), encode)
+	is.Equal(g.endpointsOf(rank), rank)
+	is.Equal(len(g.endpointsOf(nil)), 0)
+}
+
+// Guards against an overloaded coordinator that accepts plans until its peers take it
+// for dead: it refuses them at once, and another group runs them.
+func TestOverloadedCoordinatorPassesPlansOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newZonedFleet(2)
+		fleet.peers["host-0-0"].overloaded.Store(true)
+		p := newPlan("r", 2*time.Second)
+		p.Zone = "zone-0"
+		startedAt := time.Now()
+		got, err := fleet.dispatchers["host-0-1"].Execute(context.Background(), p)
+		is.NoErr(err)
+		is.Equal(got.Coordinator, "host-1-0")
+		is.True(time.Since(startedAt) < time.Second)
+		fleet.peers["host-1-0"].overloaded.Store(true)
+		_, err = fleet.dispatchers["host-0-1"].Execute(context.Background(), newPlan("s", 2*time.Second))
+		is.Equal(verdict.From(err).Code, verdict.CodeNoCapacity) // no host runs it by itself
+		is.True(verdict.From(err).RetryAfter > 0)
+	})
+}
+
+// Guards against a second coordinator of a group's endpoints in another zone: while a
+// zone's coordinator does not respond, plans go to the other zones' groups.
+func TestUnresponsiveGroupIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newZonedFleet(2)
+		fleet.peers["host-1-1"].unreachable["host-0-0"] = true // for all hosts
+		for i := range 5 {
+			p := newPlan(fmt.Sprint("r", i), 2*time.Second)
+			p.Zone = "zone-0"
+			got, err := fleet.dispatchers["host-1-1"].Execute(context.Background(), p)
+			is.NoErr(err)
+			is.Equal(got.Coordinator, "host-1-0")
+		}
+	})
+}
+
+// Guards against waste at a group that is full while another has room.
+func TestPlanIsPassedOnToAGroupWithRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newZonedFleet(2)
+		for i := range 400 { // fills the group of zone 0, whose coordinator alone knows of it
+			go func() {
+				p := newPlan(fmt.Sprint("full", i), 1500*time.Millisecond)
+				fleet.dispatchers["host-0-0"].scheduler("zone-0").Execute(t.Context(), p)
+			}()
+		}
+		synctest.Wait()
+		p := newPlan("r", 1500*time.Millisecond)
+		p.Zone = "zone-0"
+		got, err := fleet.dispatchers["host-1-1"].Execute(context.Background(), p)
+		is.NoErr(err)
+		is.Equal(got.Coordinator, "host-1-0")
+		<-time.After(10 * time.Second)
+	})
+}
--- a/internal/stagework/handover.go
+++ b/internal/stagework/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -17,12 +18,19 @@
 // sent the plan ask the next candidate.
 var errHandedOver = verdict.New(verdict.CodeNotReady, verdict.NotRun, "another host gathers the stages now")
 
-// Run hands plans over to another host that has become the coordinator, until ctx
-// ends. While this host is the coordinator, Run claims the coordination. Plans
-// that have started stay, because this host holds the handles of their results and
-// has to free them. Without the handover, two coordinators with a backlog each
-// would split the endpoints' capacity into small calls.
+// Run runs this host's schedulers, and hands plans over to another host that has
+// become the coordinator of their group, until ctx ends. While this host is the
+// coordinator of a group, Run claims the coordination. Plans that have started stay,
+// because this host holds the handles of their results and has to free them. Without
+// the handover, two coordinators with a backlog each would split the endpoints'
+// capacity into small calls.
 func (d *Dispatcher) Run(ctx context.Context) {
+	d.mu.Lock()
+	d.runContext = ctx
+	for _, sc := range d.schedulers {
+		go sc.Run(ctx)
+	}
+	d.mu.Unlock()
 	t := time.NewTicker(handOverPollInterval)
 	defer t.Stop()
 	for {
@@ -30,12 +38,35 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			coordinator := d.coordinator(nil)
-			if coordinator == d.peers.Self() {
-				d.peers.ClaimCoordination()
-			} else if n := d.scheduler.handOver(); n > 0 {
-				d.log.Info("plans handed over", slog.String("host", coordinator), slog.Int("plans", n))
-			}
+			d.updateCoordination()
+		}
+	}
+}
+
+// updateCoordination claims the coordination of the groups that this host
+// coordinates, and hands over the plans of the others.
+func (d *Dispatcher) updateCoordination() {
+	self := d.cfg.Peers.Self()
+	coordinators := make(map[string]string) // by group
+	for _, g := range d.currentDivision() {
+		hosts := d.cfg.Peers.Coordinators(g.name, g.zones)
+		if len(hosts) == 0 {
+			continue
+		}
+		coordinators[g.name] = hosts[0]
+		if hosts[0] == self {
+			d.cfg.Peers.ClaimCoordination(g.name)
+		}
+	}
+	d.mu.Lock()
+	schedulers := maps.Clone(d.schedulers)
+	d.mu.Unlock()
+	for group, sc := range schedulers {
+		if coordinators[group] == self {
+			continue
+		}
+		if n := sc.handOver(); n > 0 {
+			d.cfg.Log.Info("plans handed over", slog.String("group", group), slog.String("host", coordinators[group]), slog.Int("plans", n))
 		}
 	}
 }
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -88,6 +88,8 @@
 	// Coordinator is the ID of the host that accounts for the results. They have to
 	// be freed there.
 	Coordinator string `cbor:"4,keyasint"`
+	// Group is the name of the group that accounts for the results.
+	Group string `cbor:"5,keyasint,omitempty"`
 }
 
 // dependenciesOrdered reports whether each stage depends only on earlier
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -1,9 +1,12 @@
-// Package stagework runs the stages of requests. One host, the coordinator
-// (the keeper in log messages), batches the pieces of all hosts into calls, so
-// that it alone decides which endpoint is called and knows how much storage
-// each has left; the other hosts send it their plans. The coordinator is the
-// first of the hosts listed by Peers.Candidates. When it doesn't respond, a plan
-// goes to the next candidate at once.
+// Package stagework runs the stages of requests. The stage endpoints are divided
+// into groups, mostly by availability zone. One host of the zone, the group's
+// coordinator (the keeper in log messages), batches the pieces that all hosts send to
+// the group into calls, so that it alone decides which of its endpoints is called and
+// knows how much storage each has left. A host sends each of its plans to the
+// coordinator of the group with the shortest backlog, preferably in the plan's zone.
+// A plan that a group refuses, or whose coordinator doesn't respond, goes to another
+// group. The work of a coordinator is bounded by the endpoints of its group and does
+// not grow with the fleet.
 package stagework
 
 import (
@@ -32,8 +35,8 @@
 	measureInterval       = 300 * time.Millisecond
 )
 
-// Scheduler holds the queues of the services that this host coordinates. It is
-// safe for concurrent use.
+// Scheduler holds the queues of the services of one group that this host
+// coordinates. It is safe for concurrent use.
 type Scheduler struct {
 	// self and zone are the ID and the availability zone of this host.
 	self      string
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,9 +249,13 @@
 	unreachable map[string]bool
 	// unlisted hosts are missing from Candidates.
 	unlisted map[string]bool
+	// zones holds the zones of the hosts, by host; nil if zones don't matter.
+	zones map[string]string
 	// shuttingDown is what ShuttingDown returns.
 	shuttingDown bool
-	handlers     map[string]port.RequestHandler
+	// overloaded is whether the host's processor does not keep up.
+	overloaded atomic.Bool
+	handlers   map[string]port.RequestHandler
 }
 
 // newFakePeers returns the Peers of each host.
@@ -266,17 +271,25 @@
 func newDispatchers(endpoints *fakeEndpoints, hosts map[string]*fakePeers) map[string]*Dispatcher {
 	dispatchers := make(map[string]*Dispatcher)
 	for id, f := range hosts {
-		dispatchers[id] = NewDispatcher(f, newTestScheduler(endpoints, id, 1), port.SystemClock{}, slog.New(slog.DiscardHandler))
+		dispatchers[id] = newTestDispatcher(endpoints, f, "kranj", stageService, allEndpoints)
 	}
 	return dispatchers
 }
 
-func (f *fakePeers) Candidates() []string {
+// newTestDispatcher returns the dispatcher of a host that is not overloaded.
+func newTestDispatcher(endpoints *fakeEndpoints, peers *fakePeers, zone string, lookup func(string) (*catalog.Service, []*catalog.Endpoint), all func() []*catalog.Endpoint) *Dispatcher {
+	log := slog.New(slog.DiscardHandler)
+	monitor := health.New(health.Config{Client: endpoints, UsableEndpoints: all, OnChange: func() {}, Clock: port.SystemClock{}, Log: log})
+	return NewDispatcher(Config{Peers: peers, Zone: zone, Endpoints: endpoints, Health: monitor, LookupService: lookup, StageEndpoints: all,
+		Overloaded: func() bool { return peers.overloaded.Load() }, Clock: port.SystemClock{}, Log: log})
+}
+
+func (f *fakePeers) Coordinators(_ string, zones []string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ids []string
 	for id := range f.hosts {
-		if !f.unlisted[id] {
+		if !f.unlisted[id] && (f.zones == nil || slices.Contains(zones, f.zones[id])) {
 			ids = append(ids, id)
 		}
 	}
@@ -286,7 +299,9 @@
 
 func (f *fakePeers) Self() string { return f.self }
 
-func (f *fakePeers) ClaimCoordination() {}
+func (f *fakePeers) ClaimCoordination(string) {}
+
+func (f *fakePeers) ReachableShare([]string) float64 { return 1 }
 
 func (f *fakePeers) ShuttingDown() bool { return f.shuttingDown }
 
