Take many changes of the store in one watch

Cause: a watch returns as soon as one change is there, and the next was sent at once. When 82 hosts start, 227 entries arrive within five seconds one by one, and each host made a call for nearly each of them.

Change: watches are limited to five at once and then one in 0.4 s. A single change is still applied at once; of many, those that come together arrive in one response. TestManyChangesTakeFewWatches failed before with 250 watches.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -24,6 +26,12 @@
 	// watchWait is how long a watch of the store waits for a change. A store that
 	// stops responding goes unnoticed for up to watchWait + callTimeout.
 	watchWait = 2 * time.Second
+	// watchInterval is the time between two watches while there are many changes, and
+	// watchBurst the number of watches that may follow each other at once after a time
+	// with few. Each watch returns all changes since the last, so the calls of a host
+	// don't grow with the changes.
+	watchInterval = 400 * time.Millisecond
+	watchBurst    = 5
 	// callTimeout bounds a store call beyond the time that it is asked to wait.
 	callTimeout = time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed store call.
@@ -231,7 +239,11 @@
 func (r *Replica) followStore(ctx context.Context) {
 	retryDelay := minRetryDelay
 	revision := int64(0)
+	watches := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil {
+		if watches.Wait(ctx) != nil {
+			return
+		}
 		items, next, complete, err := r.readOrWatch(ctx, revision)
 		if ctx.Err() != nil {
 			return
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -60,6 +61,23 @@
 	})
 }
 
+// Guards against a store load of hosts times changes: when 82 hosts started, each
+// made a call for nearly every one of 227 entries.
+func TestManyChangesTakeFewWatches(t *testing.T) {
+	store := newFakeStore()
+	store.put("config/", "1")
+	runReplica(t, store, nil, func(is *is.I, replica *Replica, _ *recordingObserver) {
+		before := store.watches
+		for i := range 250 { // over 5 s
+			store.put(fmt.Sprint("end/", i), "kranj ready")
+			advance(20 * time.Millisecond)
+		}
+		is.True(store.watches-before <= watchBurst+int(5*time.Second/watchInterval)+1)
+		advance(watchInterval)
+		is.Equal(countUsable(replica.Current()), 250)
+	})
+}
+
 func TestConfigurationVersionNeverDecreases(t *testing.T) {
 	store := newFakeStore()
 	store.put("config/", "7")
--- a/internal/facts/fakes_test.go
+++ b/internal/facts/fakes_test.go
@@ -22,6 +22,7 @@
 	oldestRevision int64 // watches from an older revision fail with ErrCompacted
 	unavailable    bool
 	ranges         int           // calls of Range
+	watches        int           // calls of Watch
 	changed        chan struct{} // closed at the next change; nil if no watch waits
 }
 
@@ -80,6 +81,9 @@
 }
 
 func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]port.KeyValue, int64, error) {
+	f.mu.Lock()
+	f.watches++
+	f.mu.Unlock()
 	end := time.After(wait)
 	for {
 		f.mu.Lock()
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -237,11 +237,13 @@
 		inZones = func(facts.Host) bool { return true }
 	}
 	var list []facts.Host
-	for _, id := range g.Others() {
-		if h := hosts[id]; !h.Leaving && inZones(h) {
+	g.mu.Lock()
+	for id, h := range hosts {
+		if id != self.ID && !g.suspected[id] && !h.Leaving && inZones(h) {
 			list = append(list, h)
 		}
 	}
+	g.mu.Unlock()
 	// A host whose lease expired while it could not reach the store is unknown to
 	// the others. It would coordinate at the same time as the host that they use.
 	_, registered := hosts[self.ID]
