--- a/internal/stagework/division_test.go
+++ b/internal/stagework/division_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -251,3 +253,29 @@
 		<-time.After(10 * time.Second)
 	})
 }
+
+// Guards against hosts of a build without groups, during an upgrade: their plans and
+// notices name no group, and the coordinator uses that of its own zone.
+func TestPlanWithoutAGroupRunsInTheOwnZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newZonedFleet(2)
+		p := newPlan("r", 2*time.Second)
+		payload, err := cbor.Marshal(runRequest{Plan: *p, SoftDeadlineIn: 2 * time.Second, HardDeadlineIn: 4 * time.Second})
+		is.NoErr(err)
+		encoded, err := fleet.peers["host-0-1"].Ask(t.Context(), "host-1-0", kindRun, payload)
+		is.NoErr(err)
+		var response runResponse
+		is.NoErr(cbor.Unmarshal(encoded, &response))
+		is.Equal(len(response.Results.Handles), 4)
+		for _, handle := range response.Results.Handles {
+			is.True(strings.HasPrefix(handle, "rank-1-")) // an endpoint of zone 1
+		}
+		payload, err = cbor.Marshal(freeRequest{Handles: response.Results.Handles})
+		is.NoErr(err)
+		_, err = fleet.peers["host-0-1"].Ask(t.Context(), "host-1-0", kindFree, payload)
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(len(fleet.endpoints.freed), 6)
+	})
+}
