Let a host refuse the plans of a group that another host coordinates

Cause: when a zone returns, its hosts respond in any order, and each other host took the first one that did for the group's coordinator: 15 hosts made stage calls in that second, while the coordinator was back as well.

Change: a host that knows another coordinator refuses the plan where other groups can run it; the sender avoids the group for a moment. TestHostThatDoesNotCoordinateRefusesPlans fails without the refusal.

--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -127,6 +127,9 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	// Backlog is how long plans of the same kind wait in the group.
 	Backlog time.Duration `cbor:"5,keyasint,omitempty"`
+	// NotCoordinator is set if the host did not run the plan because another one
+	// coordinates the group.
+	NotCoordinator bool `cbor:"6,keyasint,omitempty"`
 }
 
 // freeRequest asks a coordinator to free results.
@@ -140,6 +143,10 @@
 // keep up.
 var errOverloaded = verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "coordinator is overloaded").WithRetryAfter(minRetryAfter)
 
+// errNotCoordinator is the refusal of a plan by a host that knows another coordinator
+// of the group.
+var errNotCoordinator = verdict.New(verdict.CodeNotReady, verdict.NotRun, "another host coordinates the group")
+
 // Execute has a plan run by the coordinator of one group, in order of preference, or
 // by this host if no coordinator responds. A plan that a group has no capacity for is
 // passed on to another one. It sets p.HandedOver if a coordinator hands the plan over.
@@ -253,6 +260,10 @@
 	if err := cbor.Unmarshal(encoded, &response); err != nil {
 		return Results{}, err
 	}
+	if response.NotCoordinator {
+		d.recordNoResponse(t.group)
+		return Results{}, errNotCoordinator
+	}
 	d.recordBacklog(t.group, p.Priority, response.Backlog)
 	if response.Code == "" {
 		return response.Results, nil
@@ -281,6 +292,10 @@
 		// unavailable. It asks the next candidate.
 		return cbor.Marshal(runResponse{Code: errHandedOver.Code, Message: errHandedOver.Message})
 	}
+	group := d.groupOrOwn(r.Group)
+	if !r.Plan.HandedOver && d.coordinatedElsewhere(group) {
+		return cbor.Marshal(runResponse{Code: errNotCoordinator.Code, Message: errNotCoordinator.Message, NotCoordinator: true})
+	}
 	now := d.cfg.Clock.Now()
 	r.Plan.SoftDeadline, r.Plan.HardDeadline = now.Add(r.SoftDeadlineIn), now.Add(r.HardDeadlineIn)
 	ctx, cancel := context.WithCancel(parent)
@@ -288,7 +303,7 @@
 	d.mu.Lock()
 	d.running[r.Plan.Request] = cancel
 	d.mu.Unlock()
-	results, backlog, err := d.executeHere(ctx, d.groupOrOwn(r.Group), &r.Plan)
+	results, backlog, err := d.executeHere(ctx, group, &r.Plan)
 	d.mu.Lock()
 	delete(d.running, r.Plan.Request)
 	d.mu.Unlock()
--- a/internal/stagework/division_test.go
+++ b/internal/stagework/division_test.go
@@ -233,6 +233,30 @@
 	})
 }
 
+// Guards against several coordinators of a group when a zone returns: each other host
+// got the first response from another of its hosts.
+func TestHostThatDoesNotCoordinateRefusesPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newZonedFleet(2)
+		// This host does not know that host-0-0, the coordinator, responds again.
+		fleet.peers["host-1-1"].suspected = map[string]bool{"host-0-0": true}
+		p := newPlan("r", 2*time.Second)
+		p.Zone = "zone-0"
+		got, err := fleet.dispatchers["host-1-1"].Execute(context.Background(), p)
+		is.NoErr(err)
+		is.Equal(got.Coordinator, "host-1-0")
+		// A host that does not reach the coordinator either is the group's coordinator.
+		fleet.peers["host-0-1"].suspected = map[string]bool{"host-0-0": true}
+		<-time.After(noResponseBackoff)
+		p = newPlan("s", 2*time.Second)
+		p.Zone = "zone-0"
+		got, err = fleet.dispatchers["host-1-1"].Execute(context.Background(), p)
+		is.NoErr(err)
+		is.Equal(got.Coordinator, "host-0-1")
+	})
+}
+
 // Guards against waste at a group that is full while another has room.
 func TestPlanIsPassedOnToAGroupWithRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stagework/groups.go
+++ b/internal/stagework/groups.go
@@ -33,7 +33,8 @@
 	// backlogs holds the newest backlog reported for each priority.
 	backlogs [priorityLevels]reportedBacklog
 	// noResponseUntil is the end of the backoff after the coordinator did not
-	// respond, refusedUntil that after a refusal.
+	// respond or another host was asked in its place, refusedUntil that after a
+	// refusal.
 	noResponseUntil, refusedUntil time.Time
 }
 
@@ -170,6 +171,20 @@
 	return target{}, false
 }
 
+// coordinatedElsewhere reports whether another host coordinates the group, as far as
+// this host knows, and other groups can run its plans. The sender of the plan does not
+// reach the coordinator, or does not know yet that it responds again. With two
+// coordinators, each would fill the endpoints with small calls.
+func (d *Dispatcher) coordinatedElsewhere(name string) bool {
+	groups := d.currentDivision()
+	g := groups.named(name)
+	if g == nil || len(groups) < 2 {
+		return false
+	}
+	hosts := d.cfg.Peers.Coordinators(g.name, g.zones)
+	return len(hosts) > 0 && hosts[0] != d.cfg.Peers.Self()
+}
+
 // cost returns the expected wait of a plan in a group, with the preference for zones,
 // and whether the group has refused a plan of late.
 func (d *Dispatcher) cost(g *group, p *Plan, now time.Time) (cost time.Duration, refusing bool) {
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -249,6 +249,8 @@
 	unreachable map[string]bool
 	// unlisted hosts are missing from Candidates.
 	unlisted map[string]bool
+	// suspected holds the hosts that are missing from this host's Coordinators.
+	suspected map[string]bool
 	// zones holds the zones of the hosts, by host; nil if zones don't matter.
 	zones map[string]string
 	// shuttingDown is what ShuttingDown returns.
@@ -289,7 +291,7 @@
 	defer f.mu.Unlock()
 	var ids []string
 	for id := range f.hosts {
-		if !f.unlisted[id] && (f.zones == nil || slices.Contains(zones, f.zones[id])) {
+		if !f.unlisted[id] && !f.suspected[id] && (f.zones == nil || slices.Contains(zones, f.zones[id])) {
 			ids = append(ids, id)
 		}
 	}
