Close a host's connections before its handlers end

What was seen: a request to a host that had just ended failed with may_have_run where nobody listened, so it was not sent to another host (TestVerdictsOfFailedRequests, known red).

Cause: Transport.Close ended the handlers first. The failure that a handler then returned could reach the peer before the connection closed, and the peer sent its next request on that connection.

Change: the connections are closed first; one that is accepted meanwhile closes with the transport's context.

--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -245,16 +245,14 @@
 }
 
 // startConn replaces the limits of the handshake by those of frames and starts the
-// connection's write loop. The caller runs or starts the read loop. If the transport
-// is closed, the connection is closed at once.
+// connection's write loop. The caller runs or starts the read loop. The connection is
+// closed with the transport, at once if that is closed already.
 func (t *Transport) startConn(ws *websocket.Conn, s *session) *conn {
 	ws.SetReadLimit(MaxFrameBytes + tagBytes)
 	_ = ws.SetReadDeadline(time.Time{})
 	c := newConn(t, ws, s)
 	t.group.Go(c.writeLoop)
-	if t.ctx.Err() != nil {
-		c.close()
-	}
+	context.AfterFunc(c.ctx, c.close)
 	return c
 }
 
--- a/internal/adapter/peer/transport.go
+++ b/internal/adapter/peer/transport.go
@@ -202,10 +202,12 @@
 	t.closedMu.Lock()
 	t.closed = true
 	t.closedMu.Unlock()
-	t.cancel()
+	// The connections are closed before the handlers end: a peer that got a failure
+	// first would send further requests on the connection.
 	for _, c := range t.knownConns() {
 		c.close()
 	}
+	t.cancel()
 	if t.server != nil {
 		_ = t.server.Shutdown()
 	} else {
