Order the replicated state by epoch and revision of the store

Cause: a store that comes back from an older copy gives out revisions again, and the replica ordered all it knew by revision alone. After such a restore a host ignored complete reads and changes until the revisions had passed the old mark, or took a change of the old history for newer. A lease id could be another host's, so that a host kept the other's entry alive and lost its own.

Positions are ordered by epoch, then revision, in the state, in dumps between hosts and for leases; a lease of an earlier epoch counts as expired, and a watch ends with its epoch. A host registers again at its next renewal, and writes the shared key again if that is gone.

The stand-in of the platform's store learns to restore a copy.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -233,6 +233,9 @@
 	n.balancer.MarkCold(e, service)
 }
 
+// StoreRestored implements facts.Observer.
+func (n *Node) StoreRestored() { n.metrics.Scope.Counter("store_restores_total").Inc(1) }
+
 // SnapshotPublished implements facts.Observer.
 func (n *Node) SnapshotPublished(s *facts.Snapshot) {
 	if len(s.Hosts) > 0 {
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -60,7 +60,7 @@
 		slog.String("request", r.exchange.ID), slog.String("route", route), slog.String("service", service),
 		slog.String("customer", r.customer), slog.String("endpoint", r.record.endpoint), slog.String("zone", r.record.zone),
 		slog.Int("urgency", r.priority), slog.Int("sends", r.attempts), slog.Int64("took_ms", duration.Milliseconds()),
-		slog.Int64("facts_revision", r.snapshot.Revision),
+		slog.Int64("facts_revision", r.snapshot.Position.Revision),
 		slog.Int64("facts_age_ms", r.cfg.Clock.Now().Sub(r.snapshot.ConfirmedAt).Milliseconds()),
 	}
 	if r.record.status > 0 {
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -3,7 +3,9 @@
 //
 // One goroutine owns the state. The goroutine that watches the store, and the one
 // that fetches the state of other hosts while the store is unavailable, send it
-// updates. The state's revision never decreases while the process runs.
+// updates. The state's position in the store's history never decreases while the
+// process runs. A store that was restored from an older copy starts a new epoch; see
+// restore.go for what is kept then.
 //
 // An endpoint or host whose entry is missing after an outage of the store is kept
 // for reregistrationTime, because entries expire during an outage and are
@@ -96,8 +98,8 @@
 	// state this host fetched, that this state was the newest. It is zero until a
 	// state is known.
 	ConfirmedAt time.Time
-	// Revision is the store's revision of this state; 0 until a state is known.
-	Revision int64
+	// Position is the store's position of this state; zero until a state is known.
+	Position port.StorePosition
 }
 
 // Stale reports whether the last confirmation is so old that a newer
@@ -117,6 +119,9 @@
 	EndpointTurnedCold(e *catalog.Endpoint, service *catalog.Service)
 	// SnapshotPublished is called with each new snapshot.
 	SnapshotPublished(s *Snapshot)
+	// StoreRestored is called when the state first contains data of a new epoch of the
+	// store, other than the first.
+	StoreRestored()
 }
 
 // PeerFetcher fetches the state of another host. It returns an error if it gets
@@ -124,12 +129,13 @@
 type PeerFetcher func(ctx context.Context) (*Dump, error)
 
 // Dump is the state of one host for another: all items as of Revision, the store's
-// revision.
+// revision in Epoch.
 type Dump struct {
 	Items    []port.KeyValue `cbor:"1,keyasint"`
 	Revision int64           `cbor:"2,keyasint"`
 	// Age is the time from the store's last confirmation of the items to this dump.
-	Age time.Duration `cbor:"3,keyasint"`
+	Age   time.Duration `cbor:"3,keyasint"`
+	Epoch int64         `cbor:"4,keyasint,omitempty"`
 }
 
 // Config holds the dependencies of a Replica.
@@ -162,8 +168,8 @@
 // update.
 type update struct {
 	items []port.KeyValue
-	// revision is the store's revision that the update leads to.
-	revision int64
+	// position is the store's position that the update leads to.
+	position port.StorePosition
 	// complete is set if items holds all items.
 	complete bool
 	// afterOutage is set if this complete read follows an outage of the store in
@@ -202,7 +208,7 @@
 }
 
 // controlLoop owns the state: it applies updates, sends dumps to the callers of
-// Dump and removes expired entries until ctx ends.
+// Dump and applies what has expired until ctx ends.
 func (r *Replica) controlLoop(ctx context.Context) {
 	sweep := time.NewTicker(reregistrationTime / 8)
 	defer sweep.Stop()
@@ -216,7 +222,7 @@
 		case reply := <-r.dumps:
 			reply <- r.state.dump(r.cfg.Clock.Now())
 		case <-sweep.C:
-			if r.state.removeExpired(r.cfg.Clock.Now(), r.cfg.Log) {
+			if r.state.applyExpired(r.cfg, r.cfg.Clock.Now()) {
 				r.publish()
 			}
 		}
@@ -238,40 +244,40 @@
 // One watch covers all keys, because each pending watch call has a cost.
 func (r *Replica) followStore(ctx context.Context) {
 	retryDelay := minRetryDelay
-	revision := int64(0)
+	var position port.StorePosition // zero: all keys have to be read
 	watches := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil {
 		if watches.Wait(ctx) != nil {
 			return
 		}
-		items, next, complete, err := r.readOrWatch(ctx, revision)
+		items, next, complete, err := r.readOrWatch(ctx, position)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
 			if isCompacted(err) {
-				r.cfg.Log.Info("store history compacted, reading all keys", slog.Int64("after", revision))
-				revision = 0
+				r.cfg.Log.Info("store history not available, reading all keys", slog.Int64("after", position.Revision), slog.Int64("epoch", position.Epoch), slog.Any("error", err))
+				position = port.StorePosition{}
 				continue
 			}
 			r.storeStatus.recordFailure(err)
 			port.Sleep(ctx, retryDelay)
 			retryDelay = min(maxRetryDelay, 2*retryDelay)
-			revision = 0
+			position = port.StorePosition{}
 			continue
 		}
 		retryDelay = minRetryDelay
 		afterOutage := r.storeStatus.recordResponse()
-		r.sendUpdate(ctx, update{items: items, revision: next, complete: complete, afterOutage: afterOutage})
-		revision = next
+		r.sendUpdate(ctx, update{items: items, position: next, complete: complete, afterOutage: afterOutage})
+		position = next
 	}
 }
 
-// readOrWatch makes one store call: a complete read if revision is 0, else a
-// watch for changes after revision. It returns the items read or changed, the
-// revision to continue from, and whether the items are all items of the store.
-func (r *Replica) readOrWatch(ctx context.Context, revision int64) ([]port.KeyValue, int64, bool, error) {
-	if revision == 0 {
+// readOrWatch makes one store call: a complete read if the position is zero, else a
+// watch for changes after it. It returns the items read or changed, the position to
+// continue from, and whether the items are all items of the store.
+func (r *Replica) readOrWatch(ctx context.Context, after port.StorePosition) ([]port.KeyValue, port.StorePosition, bool, error) {
+	if after == (port.StorePosition{}) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		items, next, err := r.cfg.Store.Range(callCtx, allKeys)
@@ -279,8 +285,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	items, next, err := r.cfg.Store.Watch(callCtx, allKeys, revision, watchWait)
-	return items, max(next, revision), false, err
+	items, next, err := r.cfg.Store.Watch(callCtx, allKeys, after, watchWait)
+	if next.Before(after) {
+		next = after
+	}
+	return items, next, false, err
 }
 
 // sendUpdate passes an update to controlLoop and waits until it is applied, or
@@ -308,7 +317,7 @@
 		if err != nil || d == nil {
 			continue
 		}
-		r.sendUpdate(ctx, update{items: d.Items, revision: d.Revision, complete: true, dumpAge: d.Age})
+		r.sendUpdate(ctx, update{items: d.Items, position: port.StorePosition{Epoch: d.Epoch, Revision: d.Revision}, complete: true, dumpAge: d.Age})
 	}
 }
 
@@ -324,7 +333,7 @@
 	s := r.state.snapshot()
 	old := r.current.Swap(s)
 	if s.Config != old.Config && s.Config != nil {
-		r.cfg.Log.Info("configuration in force", slog.Int64("version", s.Config.Version), slog.Int64("revision", s.Revision))
+		r.cfg.Log.Info("configuration in force", slog.Int64("version", s.Config.Version), slog.Int64("revision", s.Position.Revision))
 	}
 	r.cfg.Observer.SnapshotPublished(s)
 }
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -67,12 +67,12 @@
 	store := newFakeStore()
 	store.put("config/", "1")
 	runReplica(t, store, nil, func(is *is.I, replica *Replica, _ *recordingObserver) {
-		before := store.watches
+		before := store.watchCount()
 		for i := range 250 { // over 5 s
 			store.put(fmt.Sprint("end/", i), "kranj ready")
 			advance(20 * time.Millisecond)
 		}
-		is.True(store.watches-before <= watchBurst+int(5*time.Second/watchInterval)+1)
+		is.True(store.watchCount()-before <= watchBurst+int(5*time.Second/watchInterval)+1)
 		advance(watchInterval)
 		is.Equal(countUsable(replica.Current()), 250)
 	})
--- a/internal/facts/fakes_test.go
+++ b/internal/facts/fakes_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +22,7 @@
 	items          map[string]port.KeyValue
 	history        []port.KeyValue // changes in the order of their revisions
 	revision       int64
+	epoch          int64
 	oldestRevision int64 // watches from an older revision fail with ErrCompacted
 	unavailable    bool
 	ranges         int           // calls of Range
@@ -66,21 +70,50 @@
 	f.wakeWatches()
 }
 
-func (f *fakeStore) Range(context.Context, string) ([]port.KeyValue, int64, error) {
+func (f *fakeStore) Range(context.Context, string) ([]port.KeyValue, port.StorePosition, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ranges++
 	if f.unavailable {
-		return nil, 0, port.ErrUnavailable
+		return nil, port.StorePosition{}, port.ErrUnavailable
 	}
 	var list []port.KeyValue
 	for _, i := range f.items {
+		i.Epoch = f.epoch
 		list = append(list, i)
 	}
-	return list, f.revision, nil
+	return list, f.position(), nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]port.KeyValue, int64, error) {
+// position returns the current position. f.mu must be held.
+func (f *fakeStore) position() port.StorePosition {
+	return port.StorePosition{Epoch: f.epoch, Revision: f.revision}
+}
+
+// restore replaces the items by those of a copy, starts a new epoch, and gives out the
+// revisions after the copy's again.
+func (f *fakeStore) restore(items map[string]port.KeyValue, revision int64) {
+	f.update(func() {
+		f.items, f.revision, f.history = maps.Clone(items), revision, nil
+		f.epoch++
+	})
+}
+
+// watchCount returns the number of calls of Watch.
+func (f *fakeStore) watchCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watches
+}
+
+// backup returns a copy for restore.
+func (f *fakeStore) backup() (map[string]port.KeyValue, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.items), f.revision
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, after port.StorePosition, wait time.Duration) ([]port.KeyValue, port.StorePosition, error) {
 	f.mu.Lock()
 	f.watches++
 	f.mu.Unlock()
@@ -93,42 +126,45 @@
 		changed := f.changed
 		if f.unavailable {
 			f.mu.Unlock()
-			return nil, 0, port.ErrUnavailable
+			return nil, port.StorePosition{}, port.ErrUnavailable
 		}
-		if after < f.oldestRevision {
+		if after.Revision < f.oldestRevision || after.Epoch != f.epoch {
 			f.mu.Unlock()
-			return nil, 0, port.ErrCompacted
+			return nil, port.StorePosition{}, port.ErrCompacted
 		}
 		var list []port.KeyValue
 		for _, i := range f.history {
-			if i.Revision > after {
+			if i.Revision > after.Revision {
+				i.Epoch = f.epoch
 				list = append(list, i)
 			}
 		}
-		revision := f.revision
+		position := f.position()
 		f.mu.Unlock()
 		if len(list) > 0 {
-			return list, revision, nil
+			return list, position, nil
 		}
 		select {
 		case <-changed:
 		case <-end:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, port.StorePosition{}, ctx.Err()
 		}
 	}
 }
 
-func (f *fakeStore) CompareAndSwap(context.Context, string, []byte, int64, int64) (int64, error) {
+func (f *fakeStore) CompareAndSwap(context.Context, string, []byte, int64, port.Lease) (int64, error) {
 	return 0, nil
 }
-func (f *fakeStore) GrantLease(context.Context, time.Duration) (int64, error) { return 0, nil }
-func (f *fakeStore) RenewLease(context.Context, int64) error                  { return nil }
-func (f *fakeStore) RevokeLease(context.Context, int64) error                 { return nil }
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (port.Lease, error) {
+	return port.Lease{}, nil
+}
+func (f *fakeStore) RenewLease(context.Context, port.Lease) error  { return nil }
+func (f *fakeStore) RevokeLease(context.Context, port.Lease) error { return nil }
 
-// testDecoder decodes values of the form "VERSION" (configuration) or "ZONE STATE"
-// (endpoint). All endpoints belong to the service "pool".
+// testDecoder decodes values of the form "VERSION" (configuration) or "ZONE STATE" with
+// an optional start time (endpoint). All endpoints belong to the service "pool".
 type testDecoder struct{}
 
 func (testDecoder) ClassifyKey(key string) (port.KeyKind, string) {
@@ -152,17 +188,23 @@
 }
 
 func (testDecoder) DecodeEndpoint(item port.KeyValue) (*catalog.Endpoint, error) {
-	zone, state, ok := strings.Cut(string(item.Value), " ")
-	if !ok {
+	fields := strings.Fields(string(item.Value))
+	if len(fields) < 2 {
 		return nil, errors.New("unreadable")
 	}
-	return &catalog.Endpoint{ID: strings.TrimPrefix(item.Key, "end/"), Service: "pool", Zone: zone, Draining: state == "draining"}, nil
+	e := &catalog.Endpoint{ID: strings.TrimPrefix(item.Key, "end/"), Service: "pool", Zone: fields[0], Draining: fields[1] == "draining"}
+	if len(fields) > 2 {
+		_, err := fmt.Sscan(fields[2], &e.StartedUnixMs)
+		return e, err
+	}
+	return e, nil
 }
 
 // recordingObserver records the endpoints that it is notified of.
 type recordingObserver struct {
 	mu                                     sync.Mutex
 	endpointsAfterFirstRead, coldEndpoints []string
+	restores                               int
 }
 
 func (o *recordingObserver) EndpointUpdated(e *catalog.Endpoint, _ *catalog.Service, afterFirstRead bool) {
@@ -180,3 +222,26 @@
 }
 
 func (o *recordingObserver) SnapshotPublished(*Snapshot) {}
+
+func (o *recordingObserver) StoreRestored() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.restores++
+}
+
+// testConfig returns a Config without a store, in which the key "refuse/X" refuses the
+// fingerprint X.
+func testConfig() Config {
+	return Config{Decoder: testDecoder{}, Observer: &recordingObserver{}, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler),
+		RefusedFingerprint: func(key string) (string, bool) { return strings.CutPrefix(key, "refuse/") }}
+}
+
+// testConfigWith returns testConfig with a store.
+func testConfigWith(store *fakeStore) Config {
+	cfg := testConfig()
+	cfg.Store = store
+	return cfg
+}
+
+// keysOf returns the keys of a set, sorted.
+func keysOf(set map[string]bool) []string { return slices.Sorted(maps.Keys(set)) }
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"bytes"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -18,11 +19,11 @@
 	// evacuatedZones holds the names of the evacuated zones.
 	evacuatedZones map[string]bool
 	// endpoints and hosts hold the decoded entries by key.
-	endpoints map[string]*endpointEntry
+	endpoints map[string]*catalog.Endpoint
 	hosts     map[string]Host
 	// items holds the undecoded items by key, for dumps.
 	items    map[string]port.KeyValue
-	revision int64
+	position port.StorePosition
 	// initialized is set once an update of the store or of another host is applied.
 	initialized bool
 	// confirmedAt is Snapshot.ConfirmedAt.
@@ -30,44 +31,48 @@
 	// undecodable holds the keys of the endpoint entries that can't be decoded, for
 	// one warning each.
 	undecodable map[string]bool
-	// hostRemovals holds, by key, when each host whose entry expired in an outage of
-	// the store is removed unless it registers again.
-	hostRemovals        map[string]time.Time
+	// removals holds, by key, when each item that the store has lost, in an outage or a
+	// restore, is removed unless it is written again.
+	removals            map[string]time.Time
 	refusedFingerprints map[string]bool
-}
-
-// endpointEntry is an endpoint as registered in the store.
-type endpointEntry struct {
-	*catalog.Endpoint
-	// removeAt is when an endpoint whose entry expired in an outage of the store is
-	// removed unless it registers again; zero for all others.
-	removeAt time.Time
+	// tombstones holds the items removed of late, and heldBack those that a restored
+	// store holds although they had been removed; both by key.
+	tombstones map[string]tombstone
+	heldBack   map[string]heldItem
 }
 
 func newState() *state {
-	return &state{evacuatedZones: make(map[string]bool), endpoints: make(map[string]*endpointEntry), hosts: make(map[string]Host),
-		items: make(map[string]port.KeyValue), undecodable: make(map[string]bool), hostRemovals: make(map[string]time.Time),
-		refusedFingerprints: make(map[string]bool)}
+	return &state{evacuatedZones: make(map[string]bool), endpoints: make(map[string]*catalog.Endpoint), hosts: make(map[string]Host),
+		items: make(map[string]port.KeyValue), undecodable: make(map[string]bool), removals: make(map[string]time.Time),
+		refusedFingerprints: make(map[string]bool), tombstones: make(map[string]tombstone), heldBack: make(map[string]heldItem)}
 }
 
 // apply applies an update of the store or of another host, unless it is older
 // than the state.
 func (s *state) apply(cfg Config, u update, now time.Time) {
-	if u.revision < s.revision {
+	if u.position.Before(s.position) {
 		return
 	}
 	firstRead := !s.initialized
-	s.revision, s.initialized = u.revision, true
+	restored := !firstRead && u.position.Epoch > s.position.Epoch
+	if restored {
+		cfg.Log.Warn("store restored from an older copy", slog.Int64("epoch", u.position.Epoch), slog.Int64("revision", u.position.Revision),
+			slog.Int64("former_epoch", s.position.Epoch), slog.Int64("former_revision", s.position.Revision), slog.Int("items", len(u.items)), slog.Int("former_items", len(s.items)))
+		cfg.Observer.StoreRestored()
+	}
+	s.position, s.initialized = u.position, true
 	s.confirmedAt = laterOf(s.confirmedAt, now.Add(-u.dumpAge))
 	if u.complete {
-		s.removeMissing(cfg, u, now)
+		s.removeMissing(cfg, u, lossOf(u, restored), now)
 	}
 	for _, item := range u.items {
-		if item.Deleted {
-			s.removeItem(cfg, item.Key, false, now)
-			continue
+		switch {
+		case item.Deleted:
+			s.removeItem(cfg, item.Key, notLost, now)
+		case restored && s.holdBack(cfg, item, now):
+		default:
+			s.putItem(cfg, item, !firstRead)
 		}
-		s.putItem(cfg, item, !firstRead)
 	}
 }
 
@@ -80,14 +85,19 @@
 
 // removeMissing removes the items that a complete update does not contain, as
 // removeItem does.
-func (s *state) removeMissing(cfg Config, u update, now time.Time) {
+func (s *state) removeMissing(cfg Config, u update, cause loss, now time.Time) {
 	present := make(map[string]bool, len(u.items))
 	for _, item := range u.items {
 		present[item.Key] = true
 	}
 	for key := range s.items {
 		if !present[key] {
-			s.removeItem(cfg, key, u.afterOutage, now)
+			s.removeItem(cfg, key, cause, now)
+		}
+	}
+	for key := range s.heldBack {
+		if !present[key] {
+			delete(s.heldBack, key)
 		}
 	}
 }
@@ -97,14 +107,16 @@
 // that the item is not from the first complete read, of the store or of another
 // host's state.
 func (s *state) putItem(cfg Config, item port.KeyValue, afterFirstRead bool) {
-	if old, ok := s.items[item.Key]; ok && old.Revision >= item.Revision {
-		if e := s.endpoints[item.Key]; e != nil {
-			e.removeAt = time.Time{}
-		}
-		delete(s.hostRemovals, item.Key)
+	delete(s.removals, item.Key)
+	delete(s.heldBack, item.Key)
+	old, known := s.items[item.Key]
+	if known && (!old.Position().Before(item.Position()) || s.isOlderVersion(cfg, old, item)) {
 		return
 	}
 	s.items[item.Key] = item
+	if known && old.Epoch < item.Epoch && bytes.Equal(old.Value, item.Value) {
+		return
+	}
 	switch kind, name := cfg.Decoder.ClassifyKey(item.Key); kind {
 	case port.KeyConfig:
 		s.putConfig(cfg, item)
@@ -165,7 +177,7 @@
 		cfg.Log.Info("endpoint", slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
 			slog.String("zone", e.Zone), slog.Bool("draining", e.Draining), slog.Int64("born", e.StartedUnixMs), slog.Int64("revision", e.Revision))
 	}
-	s.endpoints[item.Key] = &endpointEntry{Endpoint: e}
+	s.endpoints[item.Key] = e
 	cfg.Observer.EndpointUpdated(e, s.service(e), afterFirstRead)
 }
 
@@ -177,33 +189,30 @@
 	return s.config.Services[e.Service]
 }
 
-// removeItem applies the removal of a key. afterOutage says that the key may have
-// expired in an outage of the store; endpoints and hosts are then kept for
-// reregistrationTime. The configuration stays in force without its key.
-func (s *state) removeItem(cfg Config, key string, afterOutage bool, now time.Time) {
-	kind, name := cfg.Decoder.ClassifyKey(key)
-	if kind == port.KeyEndpoint && afterOutage {
-		if e := s.endpoints[key]; e != nil && e.removeAt.IsZero() {
-			cfg.Log.Info("endpoint entry expired while the store was unavailable", slog.String("endpoint", name))
-			e.removeAt = now.Add(reregistrationTime)
-			return
-		}
-		if s.endpoints[key] != nil {
-			return
-		}
-	}
-	if _, known := s.hosts[key]; known && afterOutage {
-		if s.hostRemovals[key].IsZero() {
-			s.hostRemovals[key] = now.Add(reregistrationTime)
+// removeItem applies the removal of a key. An item that the store may have lost is
+// kept for the time that its kind needs to be written again. The configuration stays
+// in force without its key.
+func (s *state) removeItem(cfg Config, key string, cause loss, now time.Time) {
+	if keep := s.retention(cfg, key, cause); keep > 0 {
+		if s.removals[key].IsZero() {
+			cfg.Log.Info("entry lost by the store, kept for now", slog.String("key", key), slog.Duration("for", keep))
+			s.removals[key] = now.Add(keep)
 		}
 		return
 	}
+	kind, name := cfg.Decoder.ClassifyKey(key)
+	s.bury(key, now)
 	delete(s.items, key)
+	delete(s.removals, key)
+	delete(s.heldBack, key)
 	switch kind {
 	case port.KeyEvacuatedZone:
 		s.restoreZone(cfg, name)
 	case port.KeyEndpoint:
-		s.removeEndpoint(key, cfg.Log)
+		if e := s.endpoints[key]; e != nil {
+			cfg.Log.Info("endpoint gone", slog.String("endpoint", e.ID), slog.String("service", e.Service))
+		}
+		delete(s.endpoints, key)
 	case port.KeyOther:
 		delete(s.hosts, key)
 		if fingerprint, ok := cfg.refusedFingerprint(key); ok {
@@ -212,14 +221,6 @@
 	}
 }
 
-func (s *state) removeEndpoint(key string, log *slog.Logger) {
-	if e := s.endpoints[key]; e != nil {
-		log.Info("endpoint gone", slog.String("endpoint", e.ID), slog.String("service", e.Service))
-	}
-	delete(s.endpoints, key)
-	delete(s.items, key)
-}
-
 // restoreZone ends the evacuation of a zone and notifies the observer of the zone's
 // endpoints, which may have turned cold.
 func (s *state) restoreZone(cfg Config, zone string) {
@@ -227,42 +228,50 @@
 	delete(s.evacuatedZones, zone)
 	for _, e := range s.endpoints {
 		if e.Zone == zone {
-			cfg.Observer.EndpointTurnedCold(e.Endpoint, s.service(e.Endpoint))
+			cfg.Observer.EndpointTurnedCold(e, s.service(e))
 		}
 	}
 }
 
+// decodeHost decodes a host's entry and reports whether the item is one.
+func decodeHost(item port.KeyValue, h *Host) bool {
+	return json.Unmarshal(item.Value, h) == nil && h.ID != "" && h.Address != ""
+}
+
 // putHost replaces a host's entry. It ignores items that are no host entries.
 func (s *state) putHost(cfg Config, item port.KeyValue) {
 	var h Host
-	if err := json.Unmarshal(item.Value, &h); err != nil || h.ID == "" || h.Address == "" {
+	if !decodeHost(item, &h) {
 		return
 	}
 	if old, ok := s.hosts[item.Key]; !ok || old != h {
 		cfg.Log.Info("host entry added or changed", slog.String("host", h.ID), slog.String("address", h.Address), slog.Int64("revision", item.Revision))
 	}
 	s.hosts[item.Key] = h
-	delete(s.hostRemovals, item.Key)
 }
 
-// removeExpired removes the endpoints and hosts that were not registered again
-// within reregistrationTime. It reports whether it removed any.
-func (s *state) removeExpired(now time.Time, log *slog.Logger) bool {
+// applyExpired removes the items that were lost and not written again in time, and
+// applies those that were held back. It reports whether there were any.
+func (s *state) applyExpired(cfg Config, now time.Time) bool {
 	changed := false
-	for key, e := range s.endpoints {
-		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
-			s.removeEndpoint(key, log)
+	for key, at := range s.removals {
+		if !now.Before(at) {
+			s.removeItem(cfg, key, notLost, now)
 			changed = true
 		}
 	}
-	for key, at := range s.hostRemovals {
-		if !now.Before(at) {
-			delete(s.hostRemovals, key)
-			delete(s.hosts, key)
-			delete(s.items, key)
+	for key, held := range s.heldBack {
+		if !now.Before(held.until) {
+			delete(s.heldBack, key)
+			s.putItem(cfg, held.item, true)
 			changed = true
 		}
 	}
+	for key, t := range s.tombstones {
+		if now.Sub(t.removedAt) > tombstoneRetention {
+			delete(s.tombstones, key)
+		}
+	}
 	return changed
 }
 
@@ -270,12 +279,12 @@
 func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
 		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), RefusedFingerprints: maps.Clone(s.refusedFingerprints),
-		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Revision: s.revision}
+		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Position: s.position}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
 		out.Incarnations[e.Incarnation()] = true
 		if !e.Draining && !s.evacuatedZones[e.Zone] {
-			out.Usable[e.Service] = append(out.Usable[e.Service], e.Endpoint)
+			out.Usable[e.Service] = append(out.Usable[e.Service], e)
 		}
 	}
 	for _, h := range s.hosts {
@@ -286,7 +295,7 @@
 
 // dump returns the state for another host.
 func (s *state) dump(now time.Time) *Dump {
-	d := &Dump{Age: now.Sub(s.confirmedAt), Revision: s.revision}
+	d := &Dump{Age: now.Sub(s.confirmedAt), Revision: s.position.Revision, Epoch: s.position.Epoch}
 	for _, item := range s.items {
 		d.Items = append(d.Items, item)
 	}
--- a/internal/peering/entry.go
+++ b/internal/peering/entry.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -23,10 +24,7 @@
 		if err == nil {
 			newKey := make([]byte, sharedKeyBytes)
 			_, _ = rand.Read(newKey)
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			_, err = g.cfg.Store.CompareAndSwap(callCtx, name, newKey, 0, 0)
-			cancel()
-			if err == nil {
+			if err = g.createKey(ctx, name, newKey); err == nil {
 				return newKey
 			}
 			if errors.Is(err, port.ErrConflict) {
@@ -39,6 +37,31 @@
 	return nil
 }
 
+// createKey writes a key that must not exist.
+func (g *Group) createKey(ctx context.Context, name string, value []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := g.cfg.Store.CompareAndSwap(callCtx, name, value, 0, port.Lease{})
+	return err
+}
+
+// rewriteSharedKey writes the shared key again if a restored store has lost it, so that
+// hosts that start later use the same one.
+func (g *Group) rewriteSharedKey(ctx context.Context, key []byte) {
+	name := g.cfg.KeyPrefix + sharedKeyName
+	stored, err := g.readKey(ctx, name)
+	if err == nil && stored == nil {
+		err = g.createKey(ctx, name, key)
+	}
+	switch {
+	case errors.Is(err, port.ErrConflict): // another host has written it
+	case err != nil:
+		g.cfg.Log.Warn("shared key not written again after the store was restored", slog.Any("error", err))
+	case stored != nil && !bytes.Equal(stored, key):
+		g.cfg.Log.Error("the restored store holds another shared key, hosts that start now are not reached")
+	}
+}
+
 // readKey returns the value of a key, nil if the store has no such key.
 func (g *Group) readKey(ctx context.Context, name string) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -56,20 +79,28 @@
 }
 
 // maintainEntry keeps this host registered in the store until ctx ends, and then
-// removes its entry.
-func (g *Group) maintainEntry(ctx context.Context) {
-	lease := int64(0)
+// removes its entry. After a restore of the store, its lease counts as expired, and the
+// next renewal registers it again; the hosts' renewals are spread over
+// leaseRenewInterval. key is the shared key.
+func (g *Group) maintainEntry(ctx context.Context, key []byte) {
+	var lease port.Lease
+	epoch := int64(0) // of the last lease; 0 before the first
 	for ctx.Err() == nil {
 		var err error
-		if lease == 0 {
-			lease, err = g.register(ctx)
+		if lease == (port.Lease{}) {
+			if lease, err = g.register(ctx); err == nil {
+				if epoch != 0 && lease.Epoch != epoch {
+					g.rewriteSharedKey(ctx, key)
+				}
+				epoch = lease.Epoch
+			}
 		} else {
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			err = g.cfg.Store.RenewLease(callCtx, lease)
 			cancel()
 			if errors.Is(err, port.ErrNotFound) {
-				g.cfg.Log.Info("own entry expired", slog.Int64("lease", lease))
-				lease = 0
+				g.cfg.Log.Info("own entry expired", slog.Int64("lease", lease.ID), slog.Any("error", err))
+				lease = port.Lease{}
 				continue
 			}
 		}
@@ -79,7 +110,7 @@
 		}
 		port.Sleep(ctx, leaseRenewInterval)
 	}
-	if lease != 0 {
+	if lease != (port.Lease{}) {
 		callCtx, cancel := context.WithTimeout(context.Background(), callTimeout/2)
 		defer cancel()
 		if err := g.cfg.Store.RevokeLease(callCtx, lease); err != nil {
@@ -88,9 +119,8 @@
 	}
 }
 
-// register writes this host's entry under a new lease and returns the id of the
-// lease.
-func (g *Group) register(ctx context.Context) (int64, error) {
+// register writes this host's entry under a new lease and returns the lease.
+func (g *Group) register(ctx context.Context) (port.Lease, error) {
 	// If this host was the coordinator, its entry has expired, and another host has
 	// taken over.
 	g.mu.Lock()
@@ -100,12 +130,12 @@
 	defer cancel()
 	lease, err := g.cfg.Store.GrantLease(callCtx, max(leaseTTL, g.cfg.MinLease))
 	if err != nil {
-		return 0, err
+		return port.Lease{}, err
 	}
 	name := g.cfg.KeyPrefix + hostKeyPrefix + g.cfg.Self.ID
 	items, _, err := g.cfg.Store.Range(callCtx, name)
 	if err != nil {
-		return 0, err
+		return port.Lease{}, err
 	}
 	prevRevision := int64(0)
 	for _, i := range items {
@@ -115,12 +145,12 @@
 	}
 	revision, err := g.writeEntry(callCtx, prevRevision, lease)
 	if err != nil {
-		return 0, err
+		return port.Lease{}, err
 	}
 	g.mu.Lock()
 	g.lease, g.revision = lease, revision
 	g.mu.Unlock()
-	g.cfg.Log.Info("registered in the store", slog.Int64("lease", lease))
+	g.cfg.Log.Info("registered in the store", slog.Int64("lease", lease.ID), slog.Int64("epoch", lease.Epoch))
 	return lease, nil
 }
 
@@ -134,7 +164,7 @@
 	defer g.writeMu.Unlock()
 	g.mu.Lock()
 	lease, revision, sinceUnixMs := g.lease, g.revision, g.coordinatorSinceUnixMs
-	if lease == 0 || sinceUnixMs > 0 || g.leaving {
+	if lease == (port.Lease{}) || sinceUnixMs > 0 || g.leaving {
 		g.mu.Unlock()
 		return
 	}
@@ -163,7 +193,7 @@
 	g.leaving = true
 	lease, revision := g.lease, g.revision
 	g.mu.Unlock()
-	if lease == 0 {
+	if lease == (port.Lease{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
@@ -176,7 +206,7 @@
 // writeEntry writes this host's entry under lease if the revision of the entry is
 // prevRevision (0: none), and returns the new revision. Errors are those of
 // port.WatchableStore.CompareAndSwap.
-func (g *Group) writeEntry(ctx context.Context, prevRevision, lease int64) (int64, error) {
+func (g *Group) writeEntry(ctx context.Context, prevRevision int64, lease port.Lease) (int64, error) {
 	value, err := json.Marshal(g.selfEntry())
 	if err != nil {
 		return 0, errors.Wrap(err, "encode own entry")
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -105,8 +105,9 @@
 	// inFlight holds the requests in flight by host id.
 	inFlight map[string]*hostRequests
 	// lease and revision are those of the entry that this host wrote last, which may
-	// have expired; 0 before the first one.
-	lease, revision int64
+	// have expired; zero before the first one.
+	lease    port.Lease
+	revision int64
 	// coordinatorSinceUnixMs is when this host became the coordinator, in Unix
 	// milliseconds; 0 if it is not.
 	coordinatorSinceUnixMs int64
@@ -189,7 +190,7 @@
 	g.transport = t
 	g.mu.Unlock()
 	go g.pingMonitoredHosts()
-	g.maintainEntry(ctx)
+	g.maintainEntry(ctx, key)
 	t.Close()
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -205,16 +205,16 @@
 	ttl      time.Duration // of the last lease granted
 }
 
-func (f *fakeStore) GrantLease(_ context.Context, ttl time.Duration) (int64, error) {
+func (f *fakeStore) GrantLease(_ context.Context, ttl time.Duration) (port.Lease, error) {
 	f.ttl = ttl
-	return 1, nil
+	return port.Lease{ID: 1}, nil
 }
 
-func (f *fakeStore) Range(context.Context, string) ([]port.KeyValue, int64, error) {
-	return nil, f.revision, nil
+func (f *fakeStore) Range(context.Context, string) ([]port.KeyValue, port.StorePosition, error) {
+	return nil, port.StorePosition{Revision: f.revision}, nil
 }
 
-func (f *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, prev, _ int64) (int64, error) {
+func (f *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, prev int64, _ port.Lease) (int64, error) {
 	if prev != f.revision {
 		return 0, port.ErrConflict
 	}
@@ -246,7 +246,7 @@
 	is.Equal(g.Candidates(), []string{"b", "a", "d", "e"})
 	g.ClaimCoordination("kranj") // no effect: not registered yet
 	is.Equal(len(f.values), 0)
-	g.lease, g.revision = 1, 7
+	g.lease, g.revision = port.Lease{ID: 1}, 7
 	g.ClaimCoordination("kranj")
 	g.ClaimCoordination("kranj")
 	is.Equal(f.revision, int64(8)) // written once
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -187,28 +187,55 @@
 	FreeBytes int64
 }
 
-// WatchableStore is a key-value store with prefix watches and leases. Revisions
-// are store-wide. Implementations are safe for concurrent use.
+// StorePosition is a position in the history of a store. A store that was restored
+// from an older copy starts a new epoch, in which it gives out revisions again, so
+// that revisions of different epochs can't be compared.
+type StorePosition struct {
+	// Epoch increases with each restore.
+	Epoch int64 `cbor:"1,keyasint"`
+	// Revision is store-wide.
+	Revision int64 `cbor:"2,keyasint"`
+}
+
+// Before reports whether p is older than o: of an older epoch, or of the same one
+// with a lower revision.
+func (p StorePosition) Before(o StorePosition) bool {
+	return p.Epoch < o.Epoch || p.Epoch == o.Epoch && p.Revision < o.Revision
+}
+
+// Lease is a lease of a WatchableStore. The zero Lease stands for none.
+type Lease struct {
+	ID int64
+	// Epoch is the epoch in which it was granted. IDs are given out again in the next
+	// one.
+	Epoch int64
+}
+
+// WatchableStore is a key-value store with prefix watches and leases. It may be
+// restored from an older copy: what was written since the copy is then gone, and
+// leases of an earlier epoch count as expired. Implementations are safe for
+// concurrent use.
 type WatchableStore interface {
-	// Range returns all keys under the prefix and the store revision from which
-	// Watch has to continue.
-	Range(ctx context.Context, prefix string) ([]KeyValue, int64, error)
-	// Watch waits for changes after the given revision and returns them in order,
-	// with the revision to continue from. It returns no changes once wait has
-	// elapsed, and ErrCompacted if the history after the revision is no longer
-	// available.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]KeyValue, int64, error)
+	// Range returns all keys under the prefix and the position from which Watch has
+	// to continue.
+	Range(ctx context.Context, prefix string) ([]KeyValue, StorePosition, error)
+	// Watch waits for changes after the given position and returns them in order,
+	// with the position to continue from. It returns no changes once wait has
+	// elapsed, and ErrCompacted if the history after the position is no longer
+	// available, which is also the case in a new epoch.
+	Watch(ctx context.Context, prefix string, after StorePosition, wait time.Duration) ([]KeyValue, StorePosition, error)
 	// CompareAndSwap sets a key if its revision is prev (0: the key must not
-	// exist) and attaches it to the lease (0: none). It returns the new revision.
-	// Errors include ErrConflict, ErrNotFound if the lease has expired, and
-	// ErrUncertain if the write may have taken effect.
-	CompareAndSwap(ctx context.Context, key string, value []byte, prev, lease int64) (int64, error)
-	// GrantLease creates a lease with the given TTL and returns its id.
-	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
+	// exist) and attaches it to the lease, if there is one. It returns the new
+	// revision. Errors include ErrConflict, ErrNotFound if the lease has expired, and
+	// ErrUncertain if the write may have taken effect. With a lease of an earlier epoch
+	// it returns ErrNotFound, but the write may have taken effect.
+	CompareAndSwap(ctx context.Context, key string, value []byte, prev int64, lease Lease) (int64, error)
+	// GrantLease creates a lease with the given TTL.
+	GrantLease(ctx context.Context, ttl time.Duration) (Lease, error)
 	// RenewLease extends a lease; it returns ErrNotFound if the lease has expired.
-	RenewLease(ctx context.Context, lease int64) error
+	RenewLease(ctx context.Context, lease Lease) error
 	// RevokeLease ends a lease and deletes the keys attached to it.
-	RevokeLease(ctx context.Context, lease int64) error
+	RevokeLease(ctx context.Context, lease Lease) error
 }
 
 // KeyValue is a key of the store with its value, or the deletion of the key.
@@ -217,12 +244,19 @@
 	Value []byte `cbor:"2,keyasint,omitempty"`
 	// Revision is the store revision of the last change of the key.
 	Revision int64 `cbor:"3,keyasint"`
+	// Epoch is the newest epoch in which the store is known to have held this change.
+	Epoch int64 `cbor:"6,keyasint,omitempty"`
 	// Lease is the lease that the key is attached to, 0 if there is none.
 	Lease int64 `cbor:"4,keyasint,omitempty"`
 	// Deleted means that the key was deleted, by a caller or with its lease.
 	Deleted bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Position returns the position of the change in the store's history.
+func (kv KeyValue) Position() StorePosition {
+	return StorePosition{Epoch: kv.Epoch, Revision: kv.Revision}
+}
+
 // KeyKind is the kind of data stored under a key.
 type KeyKind uint8
 
