--- a/internal/facts/restore_test.go
+++ b/internal/facts/restore_test.go
@@ -170,6 +170,32 @@
 	})
 }
 
+// A host that is paused or cut off across the restore finds revisions beyond its own,
+// which belong to other changes.
+func TestHostWithoutTheStoreAcrossARestoreStartsAnew(t *testing.T) {
+	store := newFakeStore()
+	store.put("config/", "7")
+	store.put("end/a", "kranj ready 1")
+	runReplica(t, store, nil, func(is *is.I, replica *Replica, _ *recordingObserver) {
+		items, revision := store.backup()
+		store.put("config/", "8")
+		store.put("end/a", "kranj draining 1")
+		advance(time.Second)
+		store.update(func() { store.unavailable = true })
+		advance(time.Second)
+		store.restore(items, revision)
+		for i := range 10 { // more changes than were lost
+			store.put("end/b", fmt.Sprint("celje ready ", i+1))
+		}
+		advance(4 * time.Second)
+		store.update(func() { store.unavailable = false })
+		advance(2 * time.Second)
+		is.Equal(replica.Current().Config.Version, int64(8))
+		is.Equal(usableIDs(replica), []string{"b"})
+		is.Equal(replica.Current().Usable["pool"][0].StartedUnixMs, int64(10))
+	})
+}
+
 // Guards against the state of a host that has not noticed the restore.
 func TestStateOfAnEarlierEpochIsIgnored(t *testing.T) {
 	store := newFakeStore()
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -110,7 +110,11 @@
 	delete(s.removals, item.Key)
 	delete(s.heldBack, item.Key)
 	old, known := s.items[item.Key]
-	if known && (!old.Position().Before(item.Position()) || s.isOlderVersion(cfg, old, item)) {
+	if known && !old.Position().Before(item.Position()) {
+		return
+	}
+	if known && s.isOlderVersion(cfg, old, item) {
+		cfg.Log.Info("older version of an entry ignored", slog.String("key", item.Key), slog.Int64("epoch", item.Epoch), slog.Int64("revision", item.Revision))
 		return
 	}
 	s.items[item.Key] = item
