Bound the watches of all hosts together

The interval is now 10 ms times the number of hosts, within 0.2 and 1 s, so that small fleets learn of changes sooner and the calls of a large one do not grow with its hosts.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -28,12 +28,15 @@
 	// watchWait is how long a watch of the store waits for a change. A store that
 	// stops responding goes unnoticed for up to watchWait + callTimeout.
 	watchWait = 2 * time.Second
-	// watchInterval is the time between two watches while there are many changes, and
-	// watchBurst the number of watches that may follow each other at once after a time
-	// with few. Each watch returns all changes since the last, so the calls of a host
-	// don't grow with the changes.
-	watchInterval = 400 * time.Millisecond
-	watchBurst    = 5
+	// While there are many changes, a host makes one watch in fleetWatchInterval times the
+	// number of hosts, within minWatchInterval and maxWatchInterval, so that the calls of
+	// all hosts together grow with neither the hosts nor the changes: each watch returns
+	// all changes since the last. watchBurst is the number of watches that may follow each
+	// other at once after a time with few changes.
+	fleetWatchInterval = 10 * time.Millisecond
+	minWatchInterval   = 200 * time.Millisecond
+	maxWatchInterval   = time.Second
+	watchBurst         = 5
 	// callTimeout bounds a store call beyond the time that it is asked to wait.
 	callTimeout = time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed store call.
@@ -245,8 +248,9 @@
 func (r *Replica) followStore(ctx context.Context) {
 	retryDelay := minRetryDelay
 	var position port.StorePosition // zero: all keys have to be read
-	watches := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
+	watches := rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)
 	for ctx.Err() == nil {
+		watches.SetLimit(rate.Every(watchInterval(len(r.Current().Hosts))))
 		if watches.Wait(ctx) != nil {
 			return
 		}
@@ -273,6 +277,12 @@
 	}
 }
 
+// watchInterval returns the time between two watches of one of the given number of
+// hosts while there are many changes.
+func watchInterval(hosts int) time.Duration {
+	return min(maxWatchInterval, max(minWatchInterval, time.Duration(hosts)*fleetWatchInterval))
+}
+
 // readOrWatch makes one store call: a complete read if the position is zero, else a
 // watch for changes after it. It returns the items read or changed, the position to
 // continue from, and whether the items are all items of the store.
