Handle the outcomes of local and remote plans in one place

The two switches over a coordinator's outcome were alike; a local run now gives the same response as a remote one. No decision changes.

--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -201,18 +201,25 @@
 }
 
 // executeAt has the plan run by a coordinator, which may be this host. The error is a
-// *finalError, errHandedOver, a refusal, or that of a coordinator that did not
-// respond.
+// *finalError, errHandedOver, a refusal, errNotCoordinator, or that of a coordinator
+// that did not respond.
 func (d *Dispatcher) executeAt(ctx context.Context, t target, p *Plan) (Results, error) {
-	if t.host != d.cfg.Peers.Self() {
-		return d.executeRemotely(ctx, t, p)
+	var response runResponse
+	if t.host == d.cfg.Peers.Self() {
+		response = d.executeHere(ctx, t.group, p)
+	} else {
+		var err error
+		if response, err = d.executeRemotely(ctx, t, p); err != nil {
+			return Results{}, err
+		}
 	}
-	results, backlog, err := d.executeHere(ctx, t.group, p)
-	d.recordBacklog(t.group, p.Priority, backlog)
+	d.recordBacklog(t.group, p.Priority, response.Backlog)
+	if response.Code == "" {
+		return response.Results, nil
+	}
+	err := verdict.New(response.Code, verdict.NotRun, response.Message).WithRetryAfter(response.RetryAfter)
 	switch {
-	case err == nil:
-		return results, nil
-	case errors.Is(err, errHandedOver):
+	case response.Code == errHandedOver.Code:
 		return Results{}, err
 	case isRefusal(err):
 		d.recordRefusal(t.group)
@@ -222,26 +229,32 @@
 	}
 }
 
-// executeHere runs a plan on this host's scheduler of a group, and returns how long
-// plans of the same kind wait in the group.
-func (d *Dispatcher) executeHere(ctx context.Context, group string, p *Plan) (Results, time.Duration, error) {
+// executeHere runs a plan on this host's scheduler of a group, unless this host is
+// overloaded.
+func (d *Dispatcher) executeHere(ctx context.Context, group string, p *Plan) runResponse {
 	if d.cfg.Overloaded() {
-		return Results{}, overloadBacklog, errOverloaded
+		return runResponse{Code: errOverloaded.Code, Message: errOverloaded.Message, RetryAfter: errOverloaded.RetryAfter, Backlog: overloadBacklog}
 	}
 	sc := d.scheduler(group)
 	results, err := sc.Execute(ctx, p)
 	results.Group = group
-	return results, sc.backlog(p), err
+	response := runResponse{Results: results, Backlog: sc.backlog(p)}
+	if err != nil {
+		e := verdict.From(err)
+		response.Code, response.Message, response.RetryAfter = e.Code, e.Message, e.RetryAfter
+	}
+	return response
 }
 
-// executeRemotely sends the plan to another host and waits for the outcome until
+// executeRemotely sends the plan to another host and waits for the response until
 // the plan's hard deadline. If ctx or that deadline ends first, it has the other host
-// cancel the plan. The error is as in executeAt.
-func (d *Dispatcher) executeRemotely(ctx context.Context, t target, p *Plan) (Results, error) {
+// cancel the plan. Without a response, or with one of a host that does not coordinate
+// the group, it returns an error of those of executeAt.
+func (d *Dispatcher) executeRemotely(ctx context.Context, t target, p *Plan) (runResponse, error) {
 	now := d.cfg.Clock.Now()
 	payload, err := cbor.Marshal(runRequest{*p, p.SoftDeadline.Sub(now), p.HardDeadline.Sub(now), t.group})
 	if err != nil {
-		return Results{}, &finalError{verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode plan")}
+		return runResponse{}, &finalError{verdict.Wrap(err, verdict.CodeInternal, verdict.NotRun, "encode plan")}
 	}
 	askCtx, cancel := context.WithDeadline(ctx, p.HardDeadline)
 	defer cancel()
@@ -251,33 +264,20 @@
 			d.notify(t.host, kindCancel, []byte(p.Request))
 		}
 		if ctx.Err() == nil && askCtx.Err() != nil {
-			return Results{}, &finalError{verdict.New(verdict.CodeDeadlineExceeded, verdict.NotRun, "stages were not done in time")}
+			return runResponse{}, &finalError{verdict.New(verdict.CodeDeadlineExceeded, verdict.NotRun, "stages were not done in time")}
 		}
 		d.recordNoResponse(t.group)
-		return Results{}, err
+		return runResponse{}, err
 	}
 	var response runResponse
 	if err := cbor.Unmarshal(encoded, &response); err != nil {
-		return Results{}, err
+		return runResponse{}, err
 	}
 	if response.NotCoordinator {
 		d.recordNoResponse(t.group)
-		return Results{}, errNotCoordinator
-	}
-	d.recordBacklog(t.group, p.Priority, response.Backlog)
-	if response.Code == "" {
-		return response.Results, nil
-	}
-	err = verdict.New(response.Code, verdict.NotRun, response.Message).WithRetryAfter(response.RetryAfter)
-	switch {
-	case response.Code == verdict.CodeNotReady:
-		return Results{}, err
-	case isRefusal(err):
-		d.recordRefusal(t.group)
-		return Results{}, err
-	default:
-		return Results{}, &finalError{err}
+		return runResponse{}, errNotCoordinator
 	}
+	return response, nil
 }
 
 // handleRun runs another host's plan on this host's scheduler. Its response carries
@@ -303,15 +303,10 @@
 	d.mu.Lock()
 	d.running[r.Plan.Request] = cancel
 	d.mu.Unlock()
-	results, backlog, err := d.executeHere(ctx, group, &r.Plan)
+	response := d.executeHere(ctx, group, &r.Plan)
 	d.mu.Lock()
 	delete(d.running, r.Plan.Request)
 	d.mu.Unlock()
-	response := runResponse{Results: results, Backlog: backlog}
-	if err != nil {
-		e := verdict.From(err)
-		response.Code, response.Message, response.RetryAfter = e.Code, e.Message, e.RetryAfter
-	}
 	return cbor.Marshal(response)
 }
 
--- a/internal/stagework/groups.go
+++ b/internal/stagework/groups.go
@@ -111,14 +111,7 @@
 	defer d.mu.Unlock()
 	sc := d.schedulers[name]
 	if sc == nil {
-		sc = NewScheduler(d.cfg.Peers.Self(), d.cfg.Zone, func() float64 { return d.cfg.Peers.ReachableShare(d.zonesOf(name)) },
-			d.cfg.Endpoints, d.cfg.Health, d.cfg.Clock, d.cfg.Log, func(service string) (*catalog.Service, []*catalog.Endpoint) {
-				s, endpoints := d.cfg.LookupService(service)
-				if g := d.currentDivision().named(name); g != nil {
-					endpoints = g.endpointsOf(endpoints)
-				}
-				return s, endpoints
-			})
+		sc = d.newScheduler(name)
 		d.schedulers[name] = sc
 		if d.runContext != nil {
 			go sc.Run(d.runContext)
@@ -127,6 +120,19 @@
 	return sc
 }
 
+// newScheduler returns a scheduler that calls only the endpoints of a group.
+func (d *Dispatcher) newScheduler(name string) *Scheduler {
+	reachableShare := func() float64 { return d.cfg.Peers.ReachableShare(d.zonesOf(name)) }
+	lookupService := func(service string) (*catalog.Service, []*catalog.Endpoint) {
+		s, endpoints := d.cfg.LookupService(service)
+		if g := d.currentDivision().named(name); g != nil {
+			endpoints = g.endpointsOf(endpoints)
+		}
+		return s, endpoints
+	}
+	return NewScheduler(d.cfg.Peers.Self(), d.cfg.Zone, reachableShare, d.cfg.Endpoints, d.cfg.Health, d.cfg.Clock, d.cfg.Log, lookupService)
+}
+
 // zonesOf returns the zones of a group; nil if there is no such group.
 func (d *Dispatcher) zonesOf(name string) []string {
 	if g := d.currentDivision().named(name); g != nil {
@@ -136,10 +142,10 @@
 }
 
 // chooseTarget returns the group that should run a plan and its coordinator: the one
-// with the shortest backlog, where a zone other than the plan's counts as a longer
-// one. Each plan prefers another one among equal groups. Groups whose coordinator did not respond come last. ok is false if all have
-// been tried. refused says that a group has refused the plan; then those that have
-// refused plans of late are left out.
+// with the lowest cost. Among equal ones each plan prefers another, so that not all
+// hosts move to the same group at once. ok is false if all have been tried. refused
+// says that a group has refused the plan; then those that have refused plans of late
+// are left out.
 func (d *Dispatcher) chooseTarget(p *Plan, tried map[target]bool, refused bool) (best target, ok bool) {
 	now := d.cfg.Clock.Now()
 	bestCost := time.Duration(0)
@@ -185,8 +191,9 @@
 	return len(hosts) > 0 && hosts[0] != d.cfg.Peers.Self()
 }
 
-// cost returns the expected wait of a plan in a group, with the preference for zones,
-// and whether the group has refused a plan of late.
+// cost returns the expected wait of a plan in a group and whether the group has refused
+// a plan of late. A zone other than the plan's counts as a wait, and a coordinator that
+// did not respond as a longer one than any other.
 func (d *Dispatcher) cost(g *group, p *Plan, now time.Time) (cost time.Duration, refusing bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
