--- a/internal/facts/restore.go
+++ b/internal/facts/restore.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// bury records a tombstone for an item that is about to be removed.
-func (s *state) bury(key string, now time.Time) {
+// addTombstone records an item that is about to be removed.
+func (s *state) addTombstone(key string, now time.Time) {
 	item, ok := s.items[key]
 	if !ok {
 		return
@@ -107,8 +107,8 @@
 // holdBack holds an item of a restored store back if it was removed before the
 // restore, and reports whether it does.
 func (s *state) holdBack(cfg Config, item port.KeyValue, now time.Time) bool {
-	t, buried := s.tombstones[item.Key]
-	if _, known := s.items[item.Key]; known || !buried || item.Revision > t.position.Revision {
+	t, removed := s.tombstones[item.Key]
+	if _, known := s.items[item.Key]; known || !removed || item.Revision > t.position.Revision {
 		return false
 	}
 	if kind, _ := cfg.Decoder.ClassifyKey(item.Key); kind == port.KeyEndpoint {
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -205,7 +205,7 @@
 		return
 	}
 	kind, name := cfg.Decoder.ClassifyKey(key)
-	s.bury(key, now)
+	s.addTombstone(key, now)
 	delete(s.items, key)
 	delete(s.removals, key)
 	delete(s.heldBack, key)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -214,7 +214,7 @@
 // one before the others, then the hosts that started last. This host is one of them,
 // unless it is leaving or unregistered and there are others.
 func (g *Group) Candidates() []string {
-	return ids(g.candidates(nil), "")
+	return sortedIDs(g.candidates(nil), "")
 }
 
 // Coordinators returns the candidates for the coordinator of a group of endpoints in
@@ -225,7 +225,7 @@
 // are often restarted in turn, and the one just restarted will be the last to be
 // restarted again.
 func (g *Group) Coordinators(group string, zones []string) []string {
-	return ids(g.candidates(zones), group)
+	return sortedIDs(g.candidates(zones), group)
 }
 
 // candidates returns the hosts of the zones that are neither suspected nor leaving, or
@@ -263,9 +263,9 @@
 	return false
 }
 
-// ids sorts the candidates for the coordinator of a group, or of any group if the
+// sortedIDs sorts the candidates for the coordinator of a group, or of any group if the
 // name is empty, and returns their ids.
-func ids(candidates []facts.Host, group string) []string {
+func sortedIDs(candidates []facts.Host, group string) []string {
 	slices.SortFunc(candidates, func(a, b facts.Host) int {
 		return cmp.Or(compareCapacity(a, b, group), cmp.Compare(coordinatorRank(a, group), coordinatorRank(b, group)),
 			cmp.Compare(a.CoordinatorSinceUnixMs, b.CoordinatorSinceUnixMs), cmp.Compare(b.StartedUnixMs, a.StartedUnixMs), cmp.Compare(a.ID, b.ID))
