--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -114,8 +114,8 @@
 // suspectAndPingCandidates suspects a host and, unless it was suspected before,
 // pings the first maxCandidatePings candidates of its zone and of all: hosts are
 // often partitioned together and would otherwise be detected one after the other. A
-// candidate whose ping fails is suspected but causes no further pings, so that a host in a large
-// group does not ping all others.
+// candidate whose ping fails is suspected but causes no further pings, so that a host
+// in a large group does not ping all others.
 func (g *Group) suspectAndPingCandidates(id string, err error) {
 	if !g.suspect(id, err) {
 		return
