Log the rate limits that endpoints name in their responses

No file read the field, so the logs could not tell whether a host had been told of a limit. The platform client decodes it once; a Limiter keeps it by incarnation and logs each change, and exchange lines show the limit known when the endpoint was chosen. A missing field says that there is no limit only in responses to exchanges and stage calls; reports may leave it out.

No decision uses the limit yet.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/exchange"
 	"github.com/pimentorill/pimentorill/internal/facts"
@@ -82,6 +83,7 @@
 	replica       *facts.Replica
 	balancer      *balance.Balancer
 	retryBudgets  *quota.RetryBudgets
+	rateLimits    *ratelimit.Limiter
 	health        *health.Monitor
 	overload      *overload.Monitor
 	stages        *stagework.Dispatcher
@@ -115,6 +117,8 @@
 	n.cancel = cancel
 	n.balancer = balance.New(s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack})
 	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
+	n.rateLimits = ratelimit.New(clock, log)
+	p.Endpoints.ObserveRateLimits(n.rateLimits.Observe)
 	n.divideLimits(defaultHosts)
 	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli(), Cores: s.Cores, LinkMbps: s.LinkMbps}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() }, Clock: clock, Log: log})
@@ -134,7 +138,7 @@
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
 		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
-		Regions: s.Regions, Metrics: n.metrics.Scope})
+		RateLimits: n.rateLimits, Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.callerServer, err = p.Listen(n.server); err != nil {
 		cancel()
 		return nil, err
@@ -241,7 +245,9 @@
 	if len(s.Hosts) > 0 {
 		n.divideLimits(len(s.Hosts) + spareHosts)
 	}
-	n.balancer.Prune(func(i catalog.Incarnation) bool { return s.Incarnations[i] })
+	known := func(i catalog.Incarnation) bool { return s.Incarnations[i] }
+	n.balancer.Prune(known)
+	n.rateLimits.Prune(known)
 	n.stages.Refresh()
 }
 
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -120,6 +120,7 @@
 	r.attempts++
 	r.attempted[e.ID] = true
 	r.record.endpoint, r.record.zone = e.ID, e.Zone
+	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	var load *port.EndpointLoad
 	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.inputHandles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -15,6 +15,10 @@
 	// endpoint and zone are those of the last attempt.
 	endpoint string
 	zone     string
+	// rateLimit is the limit that this endpoint had named, in requests a second, when
+	// the attempt started; rateLimited is false if it had named none.
+	rateLimit   float64
+	rateLimited bool
 	// status is the HTTP status of the endpoint's response that is forwarded; 0 if
 	// none is.
 	status int
@@ -66,6 +70,9 @@
 	if r.record.status > 0 {
 		attrs = append(attrs, slog.Int("status", r.record.status))
 	}
+	if r.record.rateLimited {
+		attrs = append(attrs, slog.Float64("endpoint_rate_limit", r.record.rateLimit))
+	}
 	if len(r.exchange.PieceCounts) > 0 {
 		attrs = append(attrs, slog.Any("pieces", r.exchange.PieceCounts), slog.Int64("stages_ms", r.record.stagesTime.Milliseconds()),
 			slog.Int64("stage_wait_ms", r.record.stageQueueWait.Milliseconds()), slog.String("keeper", r.record.coordinator))
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -16,6 +16,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/facts"
@@ -42,6 +43,7 @@
 	Snapshot     func() *facts.Snapshot
 	Balancer     *balance.Balancer
 	RetryBudgets *quota.RetryBudgets
+	RateLimits   *ratelimit.Limiter
 	Endpoints    port.EndpointClient
 	Stages       *stagework.Dispatcher
 	CrashTracker *crashing.Tracker
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -120,6 +120,17 @@
 // once.
 type EndpointLoad struct{ Running, Waiting, Slots int }
 
+// RateLimit is what a response says about the endpoint's rate limit: how many
+// requests a second it takes from all hosts together. The limit is in force for as
+// long as the endpoint's responses name it.
+type RateLimit struct {
+	// Named means that the response names a limit.
+	Named bool
+	// PerSecond is the limit as sent, in requests a second, and not checked; NaN if
+	// it isn't a number.
+	PerSecond float64
+}
+
 // Piece is one work item of a stage; pieces are batched into calls.
 type Piece struct {
 	// Request is the ID of the exchange that the piece belongs to.
@@ -178,6 +189,11 @@
 	// Any response shows that the endpoint is reachable, so it is not an error if
 	// the response carries no report.
 	Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (EndpointReport, error)
+	// ObserveRateLimits has observe called with what each response of an endpoint to
+	// an exchange or a stage call says about its rate limit, and with the limits that
+	// other responses name. Calls may be concurrent. It must be called before the
+	// client is used.
+	ObserveRateLimits(observe func(e *catalog.Endpoint, limit RateLimit))
 }
 
 // EndpointReport is the state that an endpoint reports.
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -46,6 +46,8 @@
 	return nil
 }
 
+func (f *fakeEndpoints) ObserveRateLimits(func(*catalog.Endpoint, port.RateLimit)) {}
+
 func (f *fakeEndpoints) RunPieces(ctx context.Context, e *catalog.Endpoint, pieces []port.Piece) ([]port.PieceResult, error) {
 	f.mu.Lock()
 	f.activeCalls[e.ID]++
