--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -1,6 +1,7 @@
 // Package balance chooses the endpoint of an exchange by the prompt part that
 // the endpoint probably has cached, by its load as reported and as sent since,
-// and by zone. It limits the rate of sends to endpoints that have just started.
+// and by zone. It limits the rate of sends to endpoints that have just started, and
+// keeps to the rate limits that endpoints name.
 package balance
 
 import (
@@ -13,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -76,6 +78,7 @@
 	zone          string
 	clock         port.Clock
 	coldSendLimit ColdSendLimit
+	rateLimits    *ratelimit.Limiter
 
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -110,8 +113,8 @@
 
 // New returns a Balancer for a host in the zone that does not divide its limits
 // until SetHostCount is called. The caller must not use rng afterwards.
-func New(zone string, clock port.Clock, rng *rand.Rand, coldSendLimit ColdSendLimit) *Balancer {
-	return &Balancer{zone: zone, clock: clock, rng: rng, coldSendLimit: coldSendLimit, states: make(map[catalog.Incarnation]*endpointState), hostCount: 1}
+func New(zone string, clock port.Clock, rng *rand.Rand, coldSendLimit ColdSendLimit, rateLimits *ratelimit.Limiter) *Balancer {
+	return &Balancer{zone: zone, clock: clock, rng: rng, coldSendLimit: coldSendLimit, rateLimits: rateLimits, states: make(map[catalog.Incarnation]*endpointState), hostCount: 1}
 }
 
 // SetHostCount sets the number of hosts among which the limits on sends to cold
@@ -219,6 +222,7 @@
 		return nil
 	}
 	c.state.inFlight++
+	b.rateLimits.RecordSend(c.endpoint.Incarnation())
 	if now.Before(c.state.coldUntil) {
 		c.state.coldSends = append(c.state.coldSends, now)
 	}
@@ -255,11 +259,38 @@
 		if now.Before(s.coldUntil) && !b.allowsColdSend(s, criteria.Service, now) {
 			continue
 		}
+		if !b.rateLimits.Allows(e.Incarnation(), false) {
+			continue
+		}
 		cands = append(cands, candidate{endpoint: e, state: s, load: s.load(now)})
 	}
 	return cands
 }
 
+// CanPick reports whether Pick would return an endpoint now.
+func (b *Balancer) CanPick(endpoints []*catalog.Endpoint, criteria Criteria) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.candidates(endpoints, criteria, b.clock.Now(), true)) > 0
+}
+
+// RateLimitWait returns the time until the rate limit of one of the endpoints allows
+// this host another exchange, maxWait if none does sooner. It reports false if no rate
+// limit keeps Pick from choosing one of them.
+func (b *Balancer) RateLimitWait(endpoints []*catalog.Endpoint, criteria Criteria, maxWait time.Duration) (time.Duration, bool) {
+	shortest, limited := maxWait, false
+	for _, e := range endpoints {
+		if criteria.Avoid[e.ID] || b.rateLimits.Allows(e.Incarnation(), false) {
+			continue
+		}
+		limited = true
+		if wait, hasShare := b.rateLimits.Wait(e.Incarnation()); hasShare {
+			shortest = min(shortest, wait)
+		}
+	}
+	return shortest, limited
+}
+
 // allowsColdSend reports whether this host may send another exchange to a cold
 // endpoint, and drops the sends that have left the window. Each host has an
 // equal share of the limit, rounded down, so the total holds without
@@ -273,14 +304,17 @@
 	return len(s.coldSends) < limit
 }
 
-// choose returns the candidate that pickByCacheKey picks if there is a cache
-// key, otherwise the one with the lowest cost, with ties broken at random. It
+// choose returns a candidate whose rate limit is unconfirmed if there is one,
+// otherwise the one that pickByCacheKey picks if there is a cache key, otherwise the one with the lowest cost, with ties broken at random. It
 // returns nil if there are no candidates. It reorders cands. The caller holds
 // b.mu.
 func (b *Balancer) choose(cands []candidate, criteria Criteria) *candidate {
 	if len(cands) == 0 {
 		return nil
 	}
+	if i := slices.IndexFunc(cands, func(c candidate) bool { return b.rateLimits.Unconfirmed(c.endpoint.Incarnation()) }); i >= 0 {
+		return &cands[i]
+	}
 	zone := criteria.Zone
 	if zone == "" {
 		zone = b.zone
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -19,7 +21,7 @@
 func (c *manualClock) Now() time.Time { return c.now }
 
 func newBalancer(clock *manualClock, seed uint64) *Balancer {
-	return New("kranj", clock, rand.New(rand.NewPCG(seed, 1)), ColdSendLimit{Overrun: 1.5, Slack: 5})
+	return New("kranj", clock, rand.New(rand.NewPCG(seed, 1)), ColdSendLimit{Overrun: 1.5, Slack: 5}, ratelimit.New("edge-1", 1, clock, slog.New(slog.DiscardHandler)))
 }
 
 // newEndpoints returns n endpoints, alternately in the host's zone and in
--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -87,7 +87,7 @@
 	for _, e := range q.endpoints {
 		e.expireResults(now)
 		e.decayUntracked(now)
-		if e.usable && e.activeCalls < e.limits.MaxConcurrentCalls && !now.Before(e.backoffUntil) {
+		if e.usable && e.activeCalls < e.limits.MaxConcurrentCalls && !now.Before(e.backoffUntil) && q.rateLimits.Allows(e.Endpoint) {
 			available = append(available, e)
 		}
 	}
@@ -340,13 +340,19 @@
 }
 
 // EffectiveEndpoints returns the capacity of a zone as a number of endpoints at
-// full speed: one with slowdown 2 counts as half, one in backoff as none. An
-// empty zone means all zones.
+// full speed: one with slowdown 2 counts as half, one in backoff as none, and one with
+// a rate limit for no more than the full calls that the limit allows. An empty zone
+// means all zones.
 func (q *Queue) EffectiveEndpoints(now time.Time, zone string) float64 {
 	sum := 0.0
 	for _, e := range q.endpoints {
 		if e.usable && !now.Before(e.backoffUntil) && (zone == "" || e.Zone == zone) {
-			sum += 1 / max(1, e.slowdown)
+			capacity := 1 / max(1, e.slowdown)
+			if perSecond, limited := q.rateLimits.Limit(e.Endpoint); limited {
+				fullCall := ExpectedCallTime(e.limits, e.limits.MaxBatch)
+				capacity = min(capacity, perSecond*fullCall.Seconds()/float64(e.limits.MaxConcurrentCalls))
+			}
+			sum += capacity
 		}
 	}
 	return sum
--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -175,8 +175,9 @@
 // Queue holds the jobs of one service. It does no I/O, takes the time as an
 // argument and is not safe for concurrent use.
 type Queue struct {
-	service   *catalog.Service
-	endpoints map[catalog.Incarnation]*endpoint
+	service    *catalog.Service
+	rateLimits RateLimits
+	endpoints  map[catalog.Incarnation]*endpoint
 	// jobs and jobsByID hold the unfinished jobs; classifyAndSortJobs sorts jobs.
 	jobs []*pendingJob
 	// dispatched and dispatchedLate are decaying counts of the pieces added to
@@ -185,9 +186,17 @@
 	jobsByID                   map[string]*pendingJob
 }
 
+// RateLimits are the rate limits that endpoints name.
+type RateLimits interface {
+	// Allows reports whether the endpoint may get one more call now.
+	Allows(e *catalog.Endpoint) bool
+	// Limit returns the endpoint's limit in calls a second; false if it names none.
+	Limit(e *catalog.Endpoint) (float64, bool)
+}
+
 // New returns an empty queue of a stage service, which must have StageLimits.
-func New(service *catalog.Service) *Queue {
-	return &Queue{service: service, endpoints: make(map[catalog.Incarnation]*endpoint), jobsByID: make(map[string]*pendingJob)}
+func New(service *catalog.Service, rateLimits RateLimits) *Queue {
+	return &Queue{service: service, rateLimits: rateLimits, endpoints: make(map[catalog.Incarnation]*endpoint), jobsByID: make(map[string]*pendingJob)}
 }
 
 // SetService replaces the service and its limits. The endpoints keep the former
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -15,6 +15,12 @@
 
 var epoch = time.Unix(1000, 0)
 
+// noRateLimits is RateLimits of endpoints that name none.
+type noRateLimits struct{}
+
+func (noRateLimits) Allows(*catalog.Endpoint) bool           { return true }
+func (noRateLimits) Limit(*catalog.Endpoint) (float64, bool) { return 0, false }
+
 // testService returns a stage service as on the users' sheets, with at most 10
 // pieces per call and, at each endpoint, storage for 14 results of 1.5 MB.
 func testService() *catalog.Service {
@@ -31,7 +37,7 @@
 }
 
 func newQueue(zones ...string) *Queue {
-	q := New(testService())
+	q := New(testService(), noRateLimits{})
 	q.SetEndpoints(testEndpoints(zones...))
 	return q
 }
@@ -246,7 +252,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		all := testEndpoints("kranj", "kranj", "celje")
-		q := New(testService())
+		q := New(testService(), noRateLimits{})
 		q.SetEndpoints(all)
 		now := epoch
 		succeeded, failed := make(map[string]int), make(map[string]int) // outcomes by job ID
--- /dev/null
+++ b/internal/core/ratelimit/fleet_test.go
@@ -0,0 +1,402 @@
+package ratelimit_test
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/balance"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/membership"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+var fleetSeeds = flag.Int("fleet-seeds", 1, "number of seeds for each fleet; with more than one, fleets without disturbances run too")
+
+const (
+	// limitedFrom and limitedUntil bound the time in which the endpoints name limits.
+	limitedFrom, limitedUntil = 4 * time.Second, 34 * time.Second
+	fleetRunTime              = 40 * time.Second
+	// contactTime is the platform's contact_ms, and toldBefore the age of the first
+	// response with a limit from which a host's requests count.
+	contactTime, toldBefore = 3 * time.Second, 500 * time.Millisecond
+	// platformWindow is the window in which the platform counts.
+	platformWindow = 4 * time.Second
+	// requestsPerEndpoint is the rate of the callers' requests for each endpoint.
+	requestsPerEndpoint = 3.0
+	callerDeadline      = 6 * time.Second
+)
+
+// fleet simulates hosts, each with a Balancer and a Limiter of its own, endpoints and
+// callers in virtual time.
+type fleet struct {
+	rng       *rand.Rand
+	start     time.Time
+	now       time.Duration
+	events    eventQueue
+	hosts     []*fleetHost
+	endpoints []*fleetEndpoint
+	// registered holds the ids of the hosts that the store lists.
+	registered map[string]bool
+	perSecond  float64
+	// refused counts refusals, waits holds how long each served caller waited for
+	// its first attempt, and lost counts the callers that were never served.
+	refused, lost int
+	waits         []time.Duration
+}
+
+// fleetHost is a host. Its clock stands still while it is frozen.
+type fleetHost struct {
+	*fleet
+	id       string
+	limiter  *ratelimit.Limiter
+	balancer *balance.Balancer
+	// view holds the ids of the hosts that it knows.
+	view                []string
+	frozen, cut, gone   bool
+	frozenAt, frozenFor time.Duration
+	// disturbedUntil is the end of the time in which the rule does not count it.
+	disturbedUntil time.Duration
+	// toldAt holds, by endpoint, when it first received a response with a limit.
+	toldAt map[string]time.Duration
+}
+
+// Now implements port.Clock.
+func (h *fleetHost) Now() time.Time {
+	now := h.now
+	if h.frozen {
+		now = h.frozenAt
+	}
+	return h.start.Add(now - h.frozenFor)
+}
+
+type fleetEndpoint struct {
+	*catalog.Endpoint
+	limited bool
+	// counted holds the times of the requests that the rule counts, arrivals those of
+	// all requests.
+	counted, arrivals []time.Duration
+}
+
+// event is a function that runs at a time of the simulation.
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (f *fleet) after(d time.Duration, run func()) { heap.Push(&f.events, event{f.now + d, run}) }
+
+// between returns a random duration from lo to hi.
+func (f *fleet) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(f.rng.Int64N(int64(hi-lo)))
+}
+
+var fleetService = &catalog.Service{Name: "pool"}
+
+// newFleet returns a fleet of which the given number of endpoints name a limit.
+func newFleet(seed uint64, hosts, endpoints, limited int, perSecond float64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, uint64(hosts))), start: time.Unix(1000, 0), registered: make(map[string]bool), perSecond: perSecond}
+	for i := range endpoints {
+		f.endpoints = append(f.endpoints, &fleetEndpoint{Endpoint: &catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "pool", Slots: 64, Zone: "kranj"}, limited: i < limited})
+	}
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("edge-%d", i))
+	}
+	for _, h := range f.hosts {
+		h.learnHosts()
+	}
+	return f
+}
+
+// addHost starts a host that knows itself alone until it reads the store.
+func (f *fleet) addHost(id string) *fleetHost {
+	h := &fleetHost{fleet: f, id: id}
+	h.restart()
+	f.registered[id] = true
+	f.hosts = append(f.hosts, h)
+	f.after(f.between(0, 500*time.Millisecond), h.gossip)
+	f.after(f.between(0, 2*time.Second), h.followStore)
+	f.after(f.between(0, time.Second), h.receive)
+	return h
+}
+
+func (h *fleetHost) restart() {
+	h.limiter = ratelimit.New(h.id, 12, h, slog.New(slog.DiscardHandler))
+	h.balancer = balance.New("kranj", h, rand.New(rand.NewPCG(h.rng.Uint64(), 1)), balance.ColdSendLimit{}, h.limiter)
+	h.toldAt = make(map[string]time.Duration)
+	h.learnHosts()
+}
+
+func (h *fleetHost) learnHosts() {
+	h.view = h.view[:0]
+	for id := range h.registered {
+		h.view = append(h.view, id)
+	}
+	slices.Sort(h.view)
+	h.limiter.SetHosts(h.view)
+}
+
+// followStore reads the list of hosts every few hundred milliseconds.
+func (h *fleetHost) followStore() {
+	if h.gone {
+		return
+	}
+	if !h.cut && !h.frozen {
+		h.learnHosts()
+	}
+	h.after(h.between(50*time.Millisecond, 1500*time.Millisecond), h.followStore)
+}
+
+// gossip exchanges reports with two hosts, as pings of monitored hosts do.
+func (h *fleetHost) gossip() {
+	if h.gone {
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(h.view), func(id string) bool { return id == h.id })
+	for _, id := range membership.SelectByRendezvous(others, h.id, 2) {
+		i := slices.IndexFunc(h.hosts, func(o *fleetHost) bool { return o.id == id && !o.gone })
+		if i < 0 || h.frozen || h.cut || h.hosts[i].frozen || h.hosts[i].cut {
+			continue
+		}
+		peer, reports := h.hosts[i], h.limiter.Reports()
+		h.after(h.between(time.Millisecond, 100*time.Millisecond), func() {
+			reply := peer.limiter.Reports()
+			peer.limiter.Merge(reports)
+			h.after(h.between(time.Millisecond, 100*time.Millisecond), func() { h.limiter.Merge(reply) })
+		})
+	}
+	h.after(500*time.Millisecond, h.gossip)
+}
+
+// receive takes a caller's request and schedules the next one.
+func (h *fleetHost) receive() {
+	if h.gone {
+		return
+	}
+	rate := requestsPerEndpoint * float64(len(h.endpoints)) / float64(len(h.hosts))
+	h.after(time.Duration(h.rng.ExpFloat64()/rate*float64(time.Second)), h.receive)
+	if !h.frozen {
+		h.serve(h.now)
+	}
+}
+
+// serve sends a request that a caller first sent at sentAt to an endpoint. A refused
+// caller comes back to any host when the host says.
+func (h *fleetHost) serve(sentAt time.Duration) {
+	var candidates []*catalog.Endpoint
+	for _, e := range h.endpoints {
+		candidates = append(candidates, e.Endpoint)
+	}
+	criteria := balance.Criteria{Service: fleetService, CacheKey: fmt.Sprintf("part-%d", h.rng.IntN(4*len(h.endpoints)))}
+	picked := h.balancer.Pick(candidates, criteria)
+	if picked == nil {
+		h.refused++
+		wait, _ := h.balancer.RateLimitWait(candidates, criteria, time.Second)
+		wait = max(wait, 100*time.Millisecond)
+		if h.now+wait-sentAt > callerDeadline {
+			h.lost++
+			return
+		}
+		h.after(wait, func() {
+			if next := h.hosts[h.rng.IntN(len(h.hosts))]; !next.gone && !next.frozen {
+				next.serve(sentAt)
+			}
+		})
+		return
+	}
+	h.waits = append(h.waits, h.now-sentAt)
+	e := h.endpoints[slices.IndexFunc(h.endpoints, func(e *fleetEndpoint) bool { return e.Endpoint == picked })]
+	transit := h.between(time.Millisecond, 20*time.Millisecond)
+	if h.rng.IntN(20) == 0 { // a new connection to a busy endpoint
+		transit = h.between(20*time.Millisecond, 400*time.Millisecond)
+	}
+	limiter, balancer := h.limiter, h.balancer
+	h.after(transit, func() {
+		e.arrivals = append(e.arrivals, h.now)
+		if told, ok := h.toldAt[e.ID]; ok && h.now-told >= toldBefore && h.now >= limitedFrom+contactTime && h.now < limitedUntil && h.now >= h.disturbedUntil {
+			e.counted = append(e.counted, h.now)
+		}
+		h.after(h.between(20*time.Millisecond, 800*time.Millisecond), func() {
+			limit := port.RateLimit{Named: e.limited && h.now >= limitedFrom && h.now < limitedUntil, PerSecond: h.perSecond}
+			if !limit.Named {
+				limit.PerSecond = 0
+			}
+			if h.frozen || h.cut || limiter != h.limiter {
+				return // the response is lost
+			}
+			if _, told := h.toldAt[e.ID]; limit.Named && !told {
+				h.toldAt[e.ID] = h.now
+			}
+			limiter.Observe(e.Endpoint, limit)
+			balancer.Done(picked, balance.Succeeded, nil)
+		})
+	})
+}
+
+// disturb plays a trouble with a random host.
+func (f *fleet) disturb(kind string) {
+	h := f.hosts[f.rng.IntN(len(f.hosts))]
+	if h.gone || h.frozen || h.cut {
+		return
+	}
+	switch kind {
+	case "restart":
+		h.restart()
+		h.disturbedUntil = f.now + contactTime
+	case "freeze":
+		h.frozen, h.frozenAt = true, f.now
+		length := f.between(time.Second, 8*time.Second)
+		h.disturbedUntil = f.now + length + contactTime
+		f.after(length, func() { h.frozen, h.frozenFor = false, h.frozenFor+length })
+	case "cut":
+		h.cut = true
+		length := f.between(2*time.Second, 20*time.Second)
+		h.disturbedUntil = f.now + length + contactTime
+		f.after(15*time.Second, func() { // its lease has expired
+			if h.cut {
+				delete(f.registered, h.id)
+			}
+		})
+		f.after(length, func() {
+			h.cut = false
+			f.after(f.between(0, time.Second), func() { f.registered[h.id] = true })
+		})
+	case "leave":
+		h.gone = true
+		f.after(f.between(0, 15*time.Second), func() { delete(f.registered, h.id) })
+	case "come":
+		f.addHost(fmt.Sprintf("edge-new-%d", len(f.hosts)))
+	}
+}
+
+func (f *fleet) run() {
+	for f.now < fleetRunTime && len(f.events) > 0 {
+		next := heap.Pop(&f.events).(event)
+		f.now = next.at
+		next.run()
+	}
+}
+
+// most returns the largest number of times within any window.
+func most(times []time.Duration, window time.Duration) int {
+	slices.Sort(times)
+	largest, first := 0, 0
+	for i := range times {
+		for times[i]-times[first] >= window {
+			first++
+		}
+		largest = max(largest, i-first+1)
+	}
+	return largest
+}
+
+// within returns how many times lie in a span.
+func within(times []time.Duration, from, until time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < until {
+			n++
+		}
+	}
+	return n
+}
+
+var disturbances = []string{"restart", "freeze", "cut", "leave", "come"}
+
+// TestFleetKeepsToRateLimits guards against hosts that exceed an endpoint's rate limit
+// together or leave it unused: many or few hosts for the limit, and hosts that
+// come, go, restart, freeze and are cut off.
+func TestFleetKeepsToRateLimits(t *testing.T) {
+	for _, size := range []struct {
+		hosts, endpoints int
+		limits           []float64
+	}{{8, 18, []float64{0.1, 1, 2, 5, 20, 50}}, {82, 90, []float64{0.1, 1, 2, 5, 20, 50}}, {360, 60, []float64{1, 50}}} {
+		for _, perSecond := range size.limits {
+			for _, disturbed := range []bool{true, false} {
+				if !disturbed && *fleetSeeds == 1 {
+					continue
+				}
+				t.Run(fmt.Sprintf("%d hosts, %v a second, disturbed %v", size.hosts, perSecond, disturbed), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(*fleetSeeds) {
+						const limited = 3
+						f := newFleet(seed, size.hosts, size.endpoints, limited, perSecond)
+						for at := 5 * time.Second; disturbed && at < limitedUntil; at += f.between(200*time.Millisecond, 3*time.Second) {
+							f.after(at, func() { f.disturb(disturbances[f.rng.IntN(len(disturbances))]) })
+						}
+						f.run()
+						allowed := 1.5*perSecond*platformWindow.Seconds() + 5
+						largest, used, before, after := 0, 0, 0, 0
+						for _, e := range f.endpoints[:limited] {
+							largest = max(largest, most(e.counted, platformWindow))
+							used += within(e.arrivals, limitedFrom+contactTime, limitedUntil)
+							before += within(e.arrivals, time.Second, limitedFrom)
+							after += within(e.arrivals, limitedUntil+contactTime, fleetRunTime)
+						}
+						endpointSeconds := float64(limited) * (limitedUntil - limitedFrom - contactTime).Seconds()
+						t.Logf("seed %d: at most %d in 4 s (allowed %.0f); %.2f a second of each limit of %v; without limits %.2f a second before, %.2f after; refused %d",
+							seed, largest, allowed, float64(used)/endpointSeconds, perSecond, float64(before)/limited/(limitedFrom-time.Second).Seconds(),
+							float64(after)/limited/(fleetRunTime-limitedUntil-contactTime).Seconds(), f.refused)
+						if float64(largest) > allowed {
+							t.Errorf("seed %d: an endpoint with a limit of %v a second got %d requests in 4 s, allowed %.0f", seed, perSecond, largest, allowed)
+						}
+						if f.refused > 0 {
+							t.Errorf("seed %d: %d refusals while other endpoints have room", seed, f.refused)
+						}
+						// A third of the endpoints' share of the traffic must return within
+						// contactTime, if the limit allows a request in that time.
+						if perSecond >= 1 && float64(after) < requestsPerEndpoint/3*limited*(fleetRunTime-limitedUntil-contactTime).Seconds() {
+							t.Errorf("seed %d: %d requests in the seconds after the limits ended", seed, after)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestFleetUsesRateLimitsOfAllEndpoints guards against limits that go unused while
+// callers are refused: all endpoints together allow half of what is asked for.
+func TestFleetUsesRateLimitsOfAllEndpoints(t *testing.T) {
+	for _, size := range []struct{ hosts, endpoints int }{{8, 18}, {82, 90}, {360, 60}} {
+		t.Run(fmt.Sprint(size.hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			const perSecond = requestsPerEndpoint / 2
+			f := newFleet(1, size.hosts, size.endpoints, size.endpoints, perSecond)
+			f.run()
+			used, largest := 0, 0
+			for _, e := range f.endpoints {
+				used += within(e.arrivals, limitedFrom+contactTime, limitedUntil)
+				largest = max(largest, most(e.counted, platformWindow))
+			}
+			share := float64(used) / (perSecond * float64(size.endpoints) * (limitedUntil - limitedFrom - contactTime).Seconds())
+			slices.Sort(f.waits)
+			t.Logf("%.2f of the limits used, at most %d in 4 s; %d callers served, after %v at the median and %v for 9 in 10; %d never, %d refusals",
+				share, largest, len(f.waits), f.waits[len(f.waits)/2], f.waits[len(f.waits)*9/10], f.lost, f.refused)
+			if share < 0.8 {
+				t.Errorf("%.2f of the limits used", share)
+			}
+			if largest > 1.5*4*perSecond+5 {
+				t.Errorf("%d requests in 4 s", largest)
+			}
+		})
+	}
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,16 +117,16 @@
 	n := &Node{settings: s, log: log, metrics: metrics.New()}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.balancer = balance.New(s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack})
-	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
-	n.rateLimits = ratelimit.New(clock, log)
+	n.rateLimits = ratelimit.New(s.HostID, defaultHosts, clock, log)
 	p.Endpoints.ObserveRateLimits(n.rateLimits.Observe)
+	n.balancer = balance.New(s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack}, n.rateLimits)
+	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
 	n.divideLimits(defaultHosts)
 	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli(), Cores: s.Cores, LinkMbps: s.LinkMbps}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() }, Clock: clock, Log: log})
 	n.overload = overload.New(clock, log, n.metrics.Scope)
 	group, err := peering.Listen(peering.Config{Self: self, KeyPrefix: p.KeyPrefix, Store: p.Store, Clock: clock, Log: log,
-		MinLease: s.MinLease, OnSuspected: n.health.Sweep, Hosts: func() map[string]facts.Host { return n.replica.Current().Hosts }})
+		MinLease: s.MinLease, OnSuspected: n.health.Sweep, Hosts: func() map[string]facts.Host { return n.replica.Current().Hosts }, Gossip: rateLimitGossip{n.rateLimits, log}})
 	if err != nil {
 		cancel()
 		return nil, err
@@ -134,7 +136,7 @@
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		RefusedFingerprint: crashing.RefusedFingerprint, FetchFromPeer: sharing.fetchFromPeer})
 	sharing.handleRequests(n.replica)
-	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: p.Endpoints, Health: n.health, LookupService: n.stageService,
+	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: p.Endpoints, Health: n.health, RateLimits: n.rateLimits, LookupService: n.stageService,
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
 		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
@@ -244,6 +246,7 @@
 func (n *Node) SnapshotPublished(s *facts.Snapshot) {
 	if len(s.Hosts) > 0 {
 		n.divideLimits(len(s.Hosts) + spareHosts)
+		n.rateLimits.SetHosts(slices.Collect(maps.Keys(s.Hosts)))
 	}
 	known := func(i catalog.Incarnation) bool { return s.Incarnations[i] }
 	n.balancer.Prune(known)
--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/peering"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -50,3 +52,28 @@
 	}
 	return d, nil
 }
+
+// rateLimitGossip tells the other hosts what endpoints say of their rate limits. It
+// implements peering.Gossip.
+type rateLimitGossip struct {
+	limits *ratelimit.Limiter
+	log    *slog.Logger
+}
+
+// Outgoing implements peering.Gossip.
+func (g rateLimitGossip) Outgoing() []byte {
+	payload, err := cbor.Marshal(g.limits.Reports())
+	if err != nil {
+		g.log.Error("reports of rate limits can't be encoded", slog.Any("error", err))
+	}
+	return payload
+}
+
+// Incoming implements peering.Gossip. Payloads that can't be decoded, such as those of
+// hosts that send none, are ignored.
+func (g rateLimitGossip) Incoming(payload []byte) {
+	var reports []ratelimit.Report
+	if cbor.Unmarshal(payload, &reports) == nil {
+		g.limits.Merge(reports)
+	}
+}
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -49,7 +49,7 @@
 	for {
 		e := r.cfg.Balancer.Pick(r.eligibleEndpoints(), r.criteria(r.resultsZone))
 		if e == nil {
-			return r.abandon(lastErr, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint is free").WithRetryAfter(busyRetry))
+			return r.abandon(lastErr, r.noEndpointError())
 		}
 		err := r.attempt(ctx, e)
 		if err == nil {
@@ -70,6 +70,15 @@
 	}
 }
 
+// noEndpointError returns the refusal of an exchange for which the balancer picks no
+// endpoint.
+func (r *exchangeRun) noEndpointError() error {
+	if wait, limited := r.cfg.Balancer.RateLimitWait(r.eligibleEndpoints(), r.criteria(""), maxRateLimitRetry); limited {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "endpoints are at their rate limits").WithRetryAfter(max(wait, minRateLimitRetry))
+	}
+	return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint is free").WithRetryAfter(busyRetry)
+}
+
 // abandon ends the exchange without further attempts. It forwards r.fallback if
 // that is set and no stream has started. Otherwise it returns defaultErr, or
 // lastErr if defaultErr is nil.
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -35,6 +35,11 @@
 	// busyRetry is the retry-after time if no endpoint is available or the endpoint
 	// refuses the request.
 	busyRetry = 500 * time.Millisecond
+	// minRateLimitRetry and maxRateLimitRetry bound the retry-after time if the rate
+	// limits of the endpoints leave this host no room: a caller's retry may reach a
+	// host that has some sooner.
+	minRateLimitRetry = 100 * time.Millisecond
+	maxRateLimitRetry = time.Second
 )
 
 // Config holds the dependencies of a Server.
@@ -215,6 +220,12 @@
 	defer cancel()
 	defer r.freeResults()
 	r.cfg.RetryBudgets.RecordFirstAttempts(r.service.Name, 1)
+	if len(r.route.Stages) > 0 && !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria("")) {
+		if _, limited := r.cfg.Balancer.RateLimitWait(r.eligibleEndpoints(), r.criteria(""), maxRateLimitRetry); limited {
+			// The results of the stages would find no endpoint.
+			return r.noEndpointError()
+		}
+	}
 	if err := r.executeStages(ctx); err != nil {
 		return err
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -58,7 +58,8 @@
 	sharedKeyName = "peer-key"
 	hostKeyPrefix = "hosts/"
 
-	// kindPing is the kind of ping requests. They have no payload.
+	// kindPing is the kind of ping requests. Those to monitored hosts carry what
+	// Config.Gossip sends, and so do the replies to these.
 	kindPing = "ping"
 )
 
@@ -79,6 +80,18 @@
 	// Hosts returns the hosts known from the store by id, with this host only while
 	// it is registered. The Group does not modify the map.
 	Hosts func() map[string]facts.Host
+	// Gossip spreads state among the hosts with the pings of the monitored hosts; nil
+	// for none.
+	Gossip Gossip
+}
+
+// Gossip is state that hosts tell each other. Its methods may be called concurrently.
+type Gossip interface {
+	// Outgoing returns what this host tells another one; nothing is exchanged if it is
+	// empty.
+	Outgoing() []byte
+	// Incoming applies what another host tells.
+	Incoming(payload []byte)
 }
 
 // Group is this host's membership in the group of hosts. It is safe for concurrent
@@ -148,7 +161,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{cfg: cfg, ctx: ctx, cancel: cancel, listener: l, handlers: make(map[string]port.RequestHandler), connectedHandlers: make(map[string]port.RequestHandler),
 		suspected: make(map[string]bool), inFlight: make(map[string]*hostRequests)}
-	g.Handle(kindPing, func(context.Context, port.Member, []byte) ([]byte, error) { return []byte{1}, nil })
+	g.Handle(kindPing, g.handlePing)
 	return g, nil
 }
 
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -74,7 +74,7 @@
 		if requests.ctx.Err() != nil || !known {
 			return
 		}
-		err := g.ping(requests.ctx, host.Address)
+		_, err := g.ping(requests.ctx, host.Address, nil)
 		if err == nil || requests.ctx.Err() != nil {
 			continue
 		}
@@ -127,7 +127,7 @@
 	slices.Sort(candidates)
 	for _, candidate := range slices.Compact(candidates) {
 		if candidate != g.cfg.Self.ID {
-			go g.pingHost(candidate, func(id string, err error) { g.suspect(id, err) })
+			go g.pingHost(candidate, nil, func(id string, err error) { g.suspect(id, err) })
 		}
 	}
 }
@@ -140,11 +140,29 @@
 	for g.ctx.Err() == nil {
 		port.Sleep(g.ctx, monitoredPingInterval)
 		for _, id := range g.monitoredHosts() {
-			go g.pingHost(id, g.suspectAndPingCandidates)
+			go g.pingMonitored(id)
 		}
 	}
 }
 
+// pingMonitored pings a monitored host and exchanges gossip with it.
+func (g *Group) pingMonitored(id string) {
+	if g.cfg.Gossip == nil {
+		g.pingHost(id, nil, g.suspectAndPingCandidates)
+		return
+	}
+	g.cfg.Gossip.Incoming(g.pingHost(id, g.cfg.Gossip.Outgoing(), g.suspectAndPingCandidates))
+}
+
+// handlePing replies to a ping, with gossip if the ping carries some.
+func (g *Group) handlePing(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	if len(payload) == 0 || g.cfg.Gossip == nil {
+		return []byte{1}, nil
+	}
+	g.cfg.Gossip.Incoming(payload)
+	return g.cfg.Gossip.Outgoing(), nil
+}
+
 // monitoredHosts returns the hosts that this host pings even without requests to
 // them: one of its zone and one of another, if there are any, selected by
 // rendezvous hashing from those that are not suspected.
@@ -161,15 +179,18 @@
 	return append(membership.SelectByRendezvous(sameZone, g.cfg.Self.ID, 1), membership.SelectByRendezvous(otherZones, g.cfg.Self.ID, 1)...)
 }
 
-// pingHost pings a host if it is known, and calls onFailure if the ping fails.
-func (g *Group) pingHost(id string, onFailure func(id string, err error)) {
+// pingHost pings a host if it is known, and calls onFailure if the ping fails. It
+// returns the payload of the reply.
+func (g *Group) pingHost(id string, payload []byte, onFailure func(id string, err error)) []byte {
 	host, known := g.cfg.Hosts()[id]
 	if !known {
-		return
+		return nil
 	}
-	if err := g.ping(g.ctx, host.Address); err != nil && g.ctx.Err() == nil {
+	reply, err := g.ping(g.ctx, host.Address, payload)
+	if err != nil && g.ctx.Err() == nil {
 		onFailure(id, err)
 	}
+	return reply
 }
 
 // pingSuspected pings a suspected host at suspectedPingInterval until it responds
@@ -181,8 +202,10 @@
 		if g.ctx.Err() != nil {
 			return
 		}
-		if known && g.ping(g.ctx, host.Address) != nil {
-			continue
+		if known {
+			if _, err := g.ping(g.ctx, host.Address, nil); err != nil {
+				continue
+			}
 		}
 		g.mu.Lock()
 		delete(g.suspected, id)
@@ -192,26 +215,27 @@
 	}
 }
 
-// ping sends a ping to an address. It returns an error if neither a response nor any
+// ping sends a ping to an address and returns the payload of the reply, nil if only
+// another frame arrived. It returns an error if neither a response nor any
 // other frame arrives within pingTimeout, or if this host has not joined the group
 // yet.
-func (g *Group) ping(ctx context.Context, address string) error {
+func (g *Group) ping(ctx context.Context, address string, payload []byte) ([]byte, error) {
 	g.mu.Lock()
 	t := g.transport
 	g.mu.Unlock()
 	if t == nil {
-		return verdict.New(verdict.CodeNotReady, verdict.NotRun, "not among the hosts yet")
+		return nil, verdict.New(verdict.CodeNotReady, verdict.NotRun, "not among the hosts yet")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	received := t.FramesReceived(address)
-	_, err := t.Ask(callCtx, address, kindPing, nil)
+	reply, err := t.Ask(callCtx, address, kindPing, payload)
 	if err != nil && t.FramesReceived(address) > received {
-		return nil
+		return nil, nil
 	}
 	if err != nil && ctx.Err() == nil {
 		// The connection may be broken: the next request opens a new one.
 		t.Reset(address)
 	}
-	return err
+	return reply, err
 }
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -37,7 +37,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	p.admittedLate = false
-	now := sc.clock.Now()
+	now := sc.cfg.Clock.Now()
 	forecast, err := sc.forecast(p, sc.committed, 1)
 	if err != nil {
 		return 0, err
@@ -67,7 +67,7 @@
 		available = time.Duration(firstAttemptShare * float64(available))
 	}
 	if expected := time.Duration(sc.forecastRatio[priorityLevel(p.Priority)] * float64(forecast)); expected > available {
-		sc.log.Info("stages refused", slog.String("request", p.Request), slog.Int64("expected_ms", expected.Milliseconds()),
+		sc.cfg.Log.Info("stages refused", slog.String("request", p.Request), slog.Int64("expected_ms", expected.Milliseconds()),
 			slog.Int64("left_ms", available.Milliseconds()), slog.Float64("slowness", sc.forecastRatio[priorityLevel(p.Priority)]), slog.Bool("returned", p.PreviouslyRefused),
 			slog.Any("waiting", sc.waitingPieces(p)))
 		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages can't be done in time").
@@ -111,7 +111,7 @@
 		for _, dependency := range s.DependsOn {
 			ends[i] = max(ends[i], ends[dependency])
 		}
-		queueTime := drainTime(q.Limits(), int(weight*float64(c.pieces(s.Service, p.Priority))), q.EffectiveEndpoints(sc.clock.Now(), ""))
+		queueTime := drainTime(q.Limits(), int(weight*float64(c.pieces(s.Service, p.Priority))), q.EffectiveEndpoints(sc.cfg.Clock.Now(), ""))
 		ends[i] = max(ends[i], queueTime) + stageOverhead + gather.ExpectedCallTime(q.Limits(), s.Pieces)
 		total = max(total, ends[i])
 	}
@@ -126,7 +126,7 @@
 	longest := time.Duration(0)
 	for _, s := range p.Stages {
 		if q := sc.queues[s.Service]; q != nil && s.Pieces > 0 {
-			longest = max(longest, drainTime(q.Limits(), sc.committed.pieces(s.Service, p.Priority), q.EffectiveEndpoints(sc.clock.Now(), "")))
+			longest = max(longest, drainTime(q.Limits(), sc.committed.pieces(s.Service, p.Priority), q.EffectiveEndpoints(sc.cfg.Clock.Now(), "")))
 		}
 	}
 	return longest
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -67,6 +68,8 @@
 	Zone      string
 	Endpoints port.EndpointClient
 	Health    *health.Monitor
+	// RateLimits holds the limits that the endpoints name.
+	RateLimits *ratelimit.Limiter
 	// LookupService returns a service and its endpoints that may be called; nil if the
 	// service is unknown.
 	LookupService func(service string) (*catalog.Service, []*catalog.Endpoint)
--- a/internal/stagework/groups.go
+++ b/internal/stagework/groups.go
@@ -130,7 +130,14 @@
 		}
 		return s, endpoints
 	}
-	return NewScheduler(d.cfg.Peers.Self(), d.cfg.Zone, reachableShare, d.cfg.Endpoints, d.cfg.Health, d.cfg.Clock, d.cfg.Log, lookupService)
+	return NewScheduler(SchedulerConfig{Self: d.cfg.Peers.Self(), Zone: d.cfg.Zone, Endpoints: d.cfg.Endpoints, Health: d.cfg.Health, RateLimits: d.cfg.RateLimits,
+		ReachableShare: reachableShare, Coordinates: func() bool { return d.coordinates(name) }, LookupService: lookupService, Clock: d.cfg.Clock, Log: d.cfg.Log})
+}
+
+// coordinates reports whether this host coordinates a group, as far as it knows.
+func (d *Dispatcher) coordinates(name string) bool {
+	hosts := d.cfg.Peers.Coordinators(name, d.zonesOf(name))
+	return len(hosts) > 0 && hosts[0] == d.cfg.Peers.Self()
 }
 
 // zonesOf returns the zones of a group; nil if there is no such group.
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return Results{}, err
 	}
-	startedAt := sc.clock.Now()
+	startedAt := sc.cfg.Clock.Now()
 	remaining := make([]int, len(p.Stages))
 	for i, s := range p.Stages {
 		remaining[i] = s.Pieces
@@ -163,11 +163,11 @@
 	for attempt := range maxPlanAttempts {
 		r := &planRun{Plan: p, scheduler: sc, attempt: attempt, remaining: remaining, stageResults: make([]stageResult, len(p.Stages)), done: make([]chan struct{}, len(p.Stages))}
 		if err = r.run(ctx); err == nil {
-			took := sc.clock.Now().Sub(startedAt)
+			took := sc.cfg.Clock.Now().Sub(startedAt)
 			sc.observeForecast(p, forecast, took)
-			sc.log.Info("stages made", slog.String("request", p.Request), slog.String("zone", p.Zone), slog.Bool("admitted_late", p.admittedLate),
+			sc.cfg.Log.Info("stages made", slog.String("request", p.Request), slog.String("zone", p.Zone), slog.Bool("admitted_late", p.admittedLate),
 				slog.Int64("forecast_ms", forecast.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
-				slog.Int64("due_in_ms", p.SoftDeadline.Sub(sc.clock.Now()).Milliseconds()), slog.Any("waits_ms", r.queueWaitsMs()))
+				slog.Int64("due_in_ms", p.SoftDeadline.Sub(sc.cfg.Clock.Now()).Milliseconds()), slog.Any("waits_ms", r.queueWaitsMs()))
 			return r.results(), nil
 		}
 		if ctx.Err() != nil {
@@ -298,7 +298,7 @@
 func (r *planRun) inputsExpireAt(stages []int) time.Time {
 	var earliest time.Time
 	for _, stage := range stages {
-		service, _ := r.scheduler.lookupService(r.Stages[stage].Service)
+		service, _ := r.scheduler.cfg.LookupService(r.Stages[stage].Service)
 		if service == nil || service.StageLimits == nil || r.stageResults[stage].finishedAt.IsZero() {
 			continue
 		}
@@ -327,7 +327,7 @@
 // stageCallTime returns the expected duration of a stage's call, 0 if its service
 // is unknown.
 func (sc *Scheduler) stageCallTime(s Stage, batchFill float64) time.Duration {
-	service, _ := sc.lookupService(s.Service)
+	service, _ := sc.cfg.LookupService(s.Service)
 	if service == nil || service.StageLimits == nil {
 		return 0
 	}
@@ -346,7 +346,7 @@
 
 // results returns the results of a successful run.
 func (r *planRun) results() Results {
-	out := Results{Coordinator: r.scheduler.self}
+	out := Results{Coordinator: r.scheduler.cfg.Self}
 	largest := int64(-1)
 	terminal := r.terminalStages()
 	for i, result := range r.stageResults {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -17,6 +17,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -35,22 +36,29 @@
 	measureInterval       = 300 * time.Millisecond
 )
 
+// SchedulerConfig holds the dependencies of a Scheduler.
+type SchedulerConfig struct {
+	// Self and Zone are the ID and the availability zone of this host.
+	Self, Zone string
+	Endpoints  port.EndpointClient
+	Health     *health.Monitor
+	RateLimits *ratelimit.Limiter
+	// ReachableShare returns the fraction of the known hosts, including this one,
+	// that this host reaches.
+	ReachableShare func() float64
+	// Coordinates reports whether this host coordinates the group, as far as it knows.
+	Coordinates func() bool
+	// LookupService returns a service and its endpoints; nil if the service is
+	// unknown.
+	LookupService func(service string) (*catalog.Service, []*catalog.Endpoint)
+	Clock         port.Clock
+	Log           *slog.Logger
+}
+
 // Scheduler holds the queues of the services of one group that this host
 // coordinates. It is safe for concurrent use.
 type Scheduler struct {
-	// self and zone are the ID and the availability zone of this host.
-	self      string
-	endpoints port.EndpointClient
-	clock     port.Clock
-	log       *slog.Logger
-	zone      string
-	health    *health.Monitor
-	// reachableShare returns the fraction of the known hosts, including this one,
-	// that this host reaches.
-	reachableShare func() float64
-	// lookupService returns a service and its endpoints; nil if the service is
-	// unknown.
-	lookupService func(service string) (*catalog.Service, []*catalog.Endpoint)
+	cfg SchedulerConfig
 
 	// ctx is cancelled when Run returns.
 	ctx  context.Context
@@ -78,10 +86,10 @@
 }
 
 // NewScheduler returns a scheduler without queues, which it creates as plans need
-// them. See Scheduler for the arguments.
-func NewScheduler(self, zone string, reachableShare func() float64, endpoints port.EndpointClient, monitor *health.Monitor, clock port.Clock, log *slog.Logger, lookupService func(string) (*catalog.Service, []*catalog.Endpoint)) *Scheduler {
-	sc := &Scheduler{self: self, zone: zone, reachableShare: reachableShare, endpoints: endpoints, health: monitor, clock: clock, log: log, lookupService: lookupService,
-		queues: make(map[string]*queue), runs: make(map[*planRun]context.CancelCauseFunc), committed: make(commitments), committedLate: make(commitments)}
+// them.
+func NewScheduler(cfg SchedulerConfig) *Scheduler {
+	sc := &Scheduler{cfg: cfg, queues: make(map[string]*queue), runs: make(map[*planRun]context.CancelCauseFunc),
+		committed: make(commitments), committedLate: make(commitments)}
 	for i := range sc.forecastRatio {
 		sc.forecastRatio[i] = 1
 	}
@@ -110,6 +118,22 @@
 	}
 }
 
+// rateLimits implements gather.RateLimits. The coordinator of a group is the only host
+// that calls its endpoints and has their whole limits. Other hosts run plans only if
+// they reach no coordinator; they keep to their shares.
+type rateLimits struct{ *Scheduler }
+
+// Allows implements gather.RateLimits.
+func (r rateLimits) Allows(e *catalog.Endpoint) bool {
+	_, limited := r.Limit(e)
+	return !limited || r.cfg.RateLimits.Allows(e.Incarnation(), r.cfg.Coordinates())
+}
+
+// Limit implements gather.RateLimits.
+func (r rateLimits) Limit(e *catalog.Endpoint) (float64, bool) {
+	return r.cfg.RateLimits.Limit(e.Incarnation())
+}
+
 // runJob queues a job and waits for its outcome. The error is a *verdict.Error,
 // or ctx.Err() if ctx ends first.
 func (sc *Scheduler) runJob(ctx context.Context, service string, j gather.Job) (stageResult, error) {
@@ -121,7 +145,7 @@
 	}
 	done := make(chan gather.FinishedJob, 1)
 	q.waiters[j.ID] = done
-	q.Add(sc.clock.Now(), j)
+	q.Add(sc.cfg.Clock.Now(), j)
 	sc.startCalls(q)
 	sc.mu.Unlock()
 	select {
@@ -138,17 +162,17 @@
 // measurements that the queue needs. The error is a *verdict.Error. The caller
 // holds sc.mu.
 func (sc *Scheduler) refreshQueue(service string) (*queue, error) {
-	s, endpoints := sc.lookupService(service)
+	s, endpoints := sc.cfg.LookupService(service)
 	if s == nil || s.StageLimits == nil {
 		return nil, verdict.New(verdict.CodeNotReady, verdict.NotRun, "stage service is not known")
 	}
 	q := sc.queues[service]
 	if q == nil {
-		q = &queue{Queue: gather.New(s), waiters: make(map[string]chan gather.FinishedJob)}
+		q = &queue{Queue: gather.New(s, rateLimits{sc}), waiters: make(map[string]chan gather.FinishedJob)}
 		sc.queues[service] = q
 	}
 	q.SetService(s)
-	q.SetEndpoints(sc.assignedEndpoints(service, sc.health.Available(endpoints)))
+	q.SetEndpoints(sc.assignedEndpoints(service, sc.cfg.Health.Available(endpoints)))
 	for _, e := range q.StartMeasurements() {
 		go sc.measureCapacity(q, e)
 	}
@@ -173,7 +197,7 @@
 func (sc *Scheduler) resultLost(handle string) bool {
 	for _, q := range sc.queues {
 		if e := q.EndpointOfResult(handle); e != nil {
-			return sc.health.Avoided(e)
+			return sc.cfg.Health.Avoided(e)
 		}
 	}
 	return false
@@ -185,10 +209,10 @@
 func (sc *Scheduler) measureCapacity(q *queue, e *catalog.Endpoint) {
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), capacityReportTimeout)
-		report, err := sc.endpoints.Probe(ctx, e, false)
+		report, err := sc.cfg.Endpoints.Probe(ctx, e, false)
 		cancel()
 		sc.mu.Lock()
-		more := q.ApplyMeasurement(sc.clock.Now(), e, report.FreeBytes, err == nil)
+		more := q.ApplyMeasurement(sc.cfg.Clock.Now(), e, report.FreeBytes, err == nil)
 		sc.startCalls(q)
 		sc.mu.Unlock()
 		if !more {
@@ -205,7 +229,7 @@
 // failed one and returns a *verdict.Error, with CodeConflict if inputs were lost.
 func (sc *Scheduler) jobOutcome(f gather.FinishedJob) (stageResult, error) {
 	if f.Failure == port.PieceSucceeded {
-		return stageResult{f.Handles, f.Zone, f.QueueWait, sc.clock.Now()}, nil
+		return stageResult{f.Handles, f.Zone, f.QueueWait, sc.cfg.Clock.Now()}, nil
 	}
 	sc.Free(f.Handles)
 	code := verdict.CodeEndpointFailed
@@ -229,9 +253,10 @@
 // startCalls expires jobs and starts the calls that can be made now. The caller
 // holds sc.mu.
 func (sc *Scheduler) startCalls(q *queue) {
-	now := sc.clock.Now()
+	now := sc.cfg.Clock.Now()
 	sc.deliverFinished(q, q.Expire(now))
 	for _, c := range q.NextCalls(now) {
+		sc.cfg.RateLimits.RecordSend(c.Endpoint.Incarnation())
 		go sc.makeCall(q, c)
 	}
 }
@@ -256,25 +281,25 @@
 // makeCall makes a call and applies its outcome. The call is cancelled once the
 // health monitor finds its endpoint unreachable.
 func (sc *Scheduler) makeCall(q *queue, c *gather.Call) {
-	reachable, release := sc.health.WhileReachable(context.Background(), c.Endpoint)
+	reachable, release := sc.cfg.Health.WhileReachable(context.Background(), c.Endpoint)
 	defer release()
 	ctx, cancel := context.WithTimeout(reachable, c.Timeout)
 	defer cancel()
-	results, err := sc.endpoints.RunPieces(ctx, c.Endpoint, c.Pieces)
+	results, err := sc.cfg.Endpoints.RunPieces(ctx, c.Endpoint, c.Pieces)
 	notRun := err != nil && verdict.Of(err) == verdict.NotRun
 	if err != nil {
 		if verdict.From(err).Code == verdict.CodeEndpointFailed {
-			sc.health.RecordFailure(c.Endpoint)
+			sc.cfg.Health.RecordFailure(c.Endpoint)
 		}
-		sc.log.Warn("stage call failed", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
+		sc.cfg.Log.Warn("stage call failed", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
 			slog.Int("pieces", len(c.Pieces)), slog.Bool("not_run", notRun), slog.Any("error", err))
 	}
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.log.Info("stage call", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
+	sc.cfg.Log.Info("stage call", slog.String("service", c.Endpoint.Service), slog.String("endpoint", c.Endpoint.ID),
 		slog.String("zone", c.Endpoint.Zone), slog.Int("pieces", len(c.Pieces)), slog.Any("requests", c.Requests()), slog.Any("not_made", countFailures(results)),
-		slog.Int64("took_ms", c.Elapsed(sc.clock.Now()).Milliseconds()), slog.Int64("expected_ms", c.ExpectedTime().Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.FreeBytes(c.Endpoint)))
-	sc.deliverFinished(q, q.CompleteCall(sc.clock.Now(), c, results, err, notRun))
+		slog.Int64("took_ms", c.Elapsed(sc.cfg.Clock.Now()).Milliseconds()), slog.Int64("expected_ms", c.ExpectedTime().Milliseconds()), slog.Int("jobs_waiting", q.Len()), slog.Int64("room_bytes", q.FreeBytes(c.Endpoint)))
+	sc.deliverFinished(q, q.CompleteCall(sc.cfg.Clock.Now(), c, results, err, notRun))
 	sc.startCalls(q)
 }
 
@@ -314,8 +339,8 @@
 func (sc *Scheduler) freeResults(q *queue, e *catalog.Endpoint, handles []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeResultsTimeout)
 	defer cancel()
-	if err := sc.endpoints.FreeResults(ctx, e, handles); err != nil {
-		sc.log.Warn("results not freed", slog.String("endpoint", e.ID), slog.Int("results", len(handles)), slog.Any("error", err))
+	if err := sc.cfg.Endpoints.FreeResults(ctx, e, handles); err != nil {
+		sc.cfg.Log.Warn("results not freed", slog.String("endpoint", e.ID), slog.Int("results", len(handles)), slog.Any("error", err))
 		return
 	}
 	sc.mu.Lock()
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -107,11 +108,18 @@
 		TimePerPiece: 10 * time.Millisecond, ResultCapacityBytes: 22e6, ResultTTL: 4 * time.Second}}, list
 }
 
+// noRateLimits returns the limiter of a host whose endpoints name no limits.
+func noRateLimits(host string) *ratelimit.Limiter {
+	return ratelimit.New(host, 1, port.SystemClock{}, slog.New(slog.DiscardHandler))
+}
+
 // newTestScheduler returns the scheduler of a host in kranj that reaches the given
 // share of the hosts.
 func newTestScheduler(endpoints *fakeEndpoints, host string, reachableShare float64) *Scheduler {
 	monitor := health.New(health.Config{Client: endpoints, UsableEndpoints: allEndpoints, OnChange: func() {}, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
-	return NewScheduler(host, "kranj", func() float64 { return reachableShare }, endpoints, monitor, port.SystemClock{}, slog.New(slog.DiscardHandler), stageService)
+	return NewScheduler(SchedulerConfig{Self: host, Zone: "kranj", Endpoints: endpoints, Health: monitor, RateLimits: noRateLimits(host),
+		ReachableShare: func() float64 { return reachableShare }, Coordinates: func() bool { return true }, LookupService: stageService,
+		Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
 }
 
 // newPlan returns a plan of two stages, "encode" with 2 pieces and then "rank" with
@@ -284,7 +292,7 @@
 func newTestDispatcher(endpoints *fakeEndpoints, peers *fakePeers, zone string, lookup func(string) (*catalog.Service, []*catalog.Endpoint), all func() []*catalog.Endpoint) *Dispatcher {
 	log := slog.New(slog.DiscardHandler)
 	monitor := health.New(health.Config{Client: endpoints, UsableEndpoints: all, OnChange: func() {}, Clock: port.SystemClock{}, Log: log})
-	return NewDispatcher(Config{Peers: peers, Zone: zone, Endpoints: endpoints, Health: monitor, LookupService: lookup, StageEndpoints: all,
+	return NewDispatcher(Config{Peers: peers, Zone: zone, Endpoints: endpoints, Health: monitor, RateLimits: noRateLimits(peers.Self()), LookupService: lookup, StageEndpoints: all,
 		Overloaded: func() bool { return peers.overloaded.Load() }, Clock: port.SystemClock{}, Log: log})
 }
 
--- a/internal/stagework/zones.go
+++ b/internal/stagework/zones.go
@@ -81,7 +81,7 @@
 // holds sc.mu.
 func (sc *Scheduler) chooseZone(p *Plan) string {
 	waits := make(map[string]time.Duration)
-	now := sc.clock.Now()
+	now := sc.cfg.Clock.Now()
 	for _, s := range p.Stages {
 		q, err := sc.refreshQueue(s.Service)
 		if s.Pieces == 0 || err != nil {
@@ -173,7 +173,7 @@
 // hosts needs: it calls only some endpoints, those in its own zone first. Their
 // number is proportional to the share of the hosts that it reaches.
 func (sc *Scheduler) assignedEndpoints(service string, endpoints []*catalog.Endpoint) []*catalog.Endpoint {
-	reachable := sc.reachableShare()
+	reachable := sc.cfg.ReachableShare()
 	if reachable >= minorityThreshold || len(endpoints) == 0 {
 		return endpoints
 	}
@@ -181,13 +181,13 @@
 	var local, remote []string
 	for _, e := range endpoints {
 		byID[e.ID] = e
-		if e.Zone == sc.zone {
+		if e.Zone == sc.cfg.Zone {
 			local = append(local, e.ID)
 		} else {
 			remote = append(remote, e.ID)
 		}
 	}
-	order := append(membership.SelectByRendezvous(local, service+"/"+sc.self, len(local)), membership.SelectByRendezvous(remote, service+"/"+sc.self, len(remote))...)
+	order := append(membership.SelectByRendezvous(local, service+"/"+sc.cfg.Self, len(local)), membership.SelectByRendezvous(remote, service+"/"+sc.cfg.Self, len(remote))...)
 	n := max(1, int(math.Ceil(reachable/minorityThreshold*float64(len(endpoints)))))
 	out := make([]*catalog.Endpoint, 0, n)
 	for _, id := range order[:n] {
@@ -200,7 +200,7 @@
 // plan take longer than backlogThreshold. The caller holds sc.mu.
 func (sc *Scheduler) hasBacklog(p *Plan, stages []int) bool {
 	for _, i := range stages {
-		if q := sc.queues[p.Stages[i].Service]; q != nil && drainTime(q.Limits(), q.WaitingPieces(), q.EffectiveEndpoints(sc.clock.Now(), "")) > backlogThreshold {
+		if q := sc.queues[p.Stages[i].Service]; q != nil && drainTime(q.Limits(), q.WaitingPieces(), q.EffectiveEndpoints(sc.cfg.Clock.Now(), "")) > backlogThreshold {
 			return true
 		}
 	}
