--- a/internal/core/ratelimit/ratelimit.go
+++ b/internal/core/ratelimit/ratelimit.go
@@ -61,16 +61,13 @@
 	self  string
 	clock port.Clock
 	log   *slog.Logger
-	// assumedHosts is the number of hosts assumed until SetHosts is called.
-	assumedHosts int
 	// limitedCount is the number of states with limited set.
 	limitedCount atomic.Int64
 
 	mu     sync.Mutex
 	states map[catalog.Incarnation]*state
-	// hosts holds the ids of all known hosts, with this one, sorted; empty until
-	// SetHosts is called. hostsVersion increases with each change.
-	hosts        []string
+	// hosts divides the limits; hostsVersion increases with each change.
+	hosts        Division
 	hostsVersion int
 }
 
@@ -92,18 +89,16 @@
 // New returns a Limiter of the host self that knows of no limits. Until SetHosts is
 // called, limits are divided among assumedHosts hosts.
 func New(self string, assumedHosts int, clock port.Clock, log *slog.Logger) *Limiter {
-	return &Limiter{self: self, assumedHosts: assumedHosts, clock: clock, log: log, states: make(map[catalog.Incarnation]*state)}
+	return &Limiter{self: self, clock: clock, log: log, states: make(map[catalog.Incarnation]*state), hosts: NewDivision(self, nil, assumedHosts), hostsVersion: 1}
 }
 
-// SetHosts sets the ids of the hosts among which the limits are divided. This host is
-// one of them whether ids holds it or not.
+// SetHosts sets the ids of the hosts among which the limits are divided, if there are
+// any. This host is one of them whether ids holds it or not.
 func (l *Limiter) SetHosts(ids []string) {
-	hosts := append(slices.Clone(ids), l.self)
-	slices.Sort(hosts)
-	hosts = slices.Compact(hosts)
+	hosts := NewDivision(l.self, ids, 0)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !slices.Equal(hosts, l.hosts) {
+	if len(ids) > 0 && !hosts.Equal(l.hosts) {
 		l.hosts = hosts
 		l.hostsVersion++
 	}
@@ -248,14 +243,22 @@
 	if round > 0 {
 		pause = max(0, window-(age-round*rotation))
 	}
-	if len(l.hosts) == 0 {
-		return requests / l.assumedHosts, pause
-	}
-	n := len(l.hosts)
-	if requests%n > l.rankOf(i, s, int64(round)) {
-		return requests/n + 1, pause
+	return l.hosts.Share(requests, l.rankOf(i, s, int64(round))), pause
+}
+
+// cachedRank is the rank of this host for one version of the hosts and one round.
+type cachedRank struct {
+	hostsVersion int
+	round        int64
+	rank         int
+}
+
+// rankOf returns Division.Rank. The caller holds l.mu.
+func (l *Limiter) rankOf(i catalog.Incarnation, s *state, round int64) int {
+	if s.rank.hostsVersion != l.hostsVersion || s.rank.round != round {
+		s.rank = cachedRank{l.hostsVersion, round, l.hosts.Rank(i, round)}
 	}
-	return requests / n, pause
+	return s.rank.rank
 }
 
 // age returns the time since the newest response. While a host is suspended, only the
@@ -290,7 +293,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.limitedState(i)
-	if s == nil || len(l.hosts) == 0 {
+	if s == nil {
 		return false
 	}
 	age := s.age(l.clock.Now())
--- a/internal/core/ratelimit/reports.go
+++ b/internal/core/ratelimit/reports.go
@@ -3,11 +3,8 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -85,30 +82,3 @@
 		l.apply(i, s, port.RateLimit{Named: r.Limited, PerSecond: r.PerSecond}, "host")
 	}
 }
-
-// cachedRank is the rank of this host for one version of the host list and one
-// rotation.
-type cachedRank struct {
-	hostsVersion int
-	round        int64
-	rank         int
-}
-
-// rankOf returns this host's position, from 0, among the hosts in the order in which
-// they get the shares of an incarnation: that of rendezvous hashing. The order changes
-// with each round. The caller holds l.mu.
-func (l *Limiter) rankOf(i catalog.Incarnation, s *state, round int64) int {
-	if s.rank.hostsVersion == l.hostsVersion && s.rank.round == round {
-		return s.rank.rank
-	}
-	purpose := i.ID + "\x00" + strconv.FormatInt(i.StartedUnixMs, 10) + "\x00" + strconv.FormatInt(round, 10) + "\x00"
-	own := xxhash.Sum64String(purpose + l.self)
-	rank := 0
-	for _, h := range l.hosts {
-		if weight := xxhash.Sum64String(purpose + h); weight > own || weight == own && h < l.self {
-			rank++
-		}
-	}
-	s.rank = cachedRank{l.hostsVersion, round, rank}
-	return rank
-}
