Let some hosts of a large fleet send to cold endpoints

With more hosts than a cold endpoint may get requests, the share of each was rounded down to none: (1.5 x 11 + 5) / 84 on 82 hosts, so that an endpoint got nothing until it was warm.

The remainder of the division now goes to the first hosts in the order of rendezvous hashing, except for two shares that stay free for hosts that are not known yet. The division is among the hosts known in the last hour instead of the largest number seen: a host that is cut off from the store keeps its rank.

TestManyHostsUseTheColdLimit fails with the former rounding (no send from 82 or 360 hosts) and passes with 19 of 21.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -75,15 +76,17 @@
 // Balancer tracks the load and health of endpoints as this host observes them.
 // It is safe for concurrent use.
 type Balancer struct {
-	zone          string
+	self, zone    string
 	clock         port.Clock
 	coldSendLimit ColdSendLimit
 	rateLimits    *ratelimit.Limiter
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	states    map[catalog.Incarnation]*endpointState
-	hostCount int
+	mu     sync.Mutex
+	rng    *rand.Rand
+	states map[catalog.Incarnation]*endpointState
+	// hosts divides the limits; hostsVersion increases with each change.
+	hosts        ratelimit.Division
+	hostsVersion int
 }
 
 // endpointState is the state of one incarnation of an endpoint.
@@ -109,20 +112,34 @@
 	// warmUpTime is how long the endpoint is cold after a start; 0 if its service
 	// has no rate limit for cold endpoints.
 	warmUpTime time.Duration
+	// rank is this host's rank for the endpoint in version rankVersion of the hosts.
+	rank, rankVersion int
 }
 
-// New returns a Balancer for a host in the zone that does not divide its limits
-// until SetHostCount is called. The caller must not use rng afterwards.
-func New(zone string, clock port.Clock, rng *rand.Rand, coldSendLimit ColdSendLimit, rateLimits *ratelimit.Limiter) *Balancer {
-	return &Balancer{zone: zone, clock: clock, rng: rng, coldSendLimit: coldSendLimit, rateLimits: rateLimits, states: make(map[catalog.Incarnation]*endpointState), hostCount: 1}
+// New returns a Balancer for the host self in the zone that does not divide its limits
+// until SetHosts is called. The caller must not use rng afterwards.
+func New(self, zone string, clock port.Clock, rng *rand.Rand, coldSendLimit ColdSendLimit, rateLimits *ratelimit.Limiter) *Balancer {
+	return &Balancer{self: self, zone: zone, hosts: ratelimit.NewDivision(self, nil, 1), hostsVersion: 1, clock: clock, rng: rng, coldSendLimit: coldSendLimit, rateLimits: rateLimits, states: make(map[catalog.Incarnation]*endpointState)}
 }
 
-// SetHostCount sets the number of hosts among which the limits on sends to cold
-// endpoints and on connections are divided. Values below 1 count as 1.
-func (b *Balancer) SetHostCount(n int) {
+// SetHosts sets the hosts among which the limits on sends to cold endpoints and on
+// connections are divided: those with the given ids and a number of others, which must
+// be positive if there are no ids.
+func (b *Balancer) SetHosts(ids []string, others int) {
+	hosts := ratelimit.NewDivision(b.self, ids, others)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.hostCount = max(1, n)
+	b.hosts = hosts
+	b.hostsVersion++
+}
+
+// share returns this host's share of a limit on all hosts together at the endpoint. The
+// caller holds b.mu.
+func (b *Balancer) share(e *catalog.Endpoint, s *endpointState, total int) int {
+	if s.rankVersion != b.hostsVersion {
+		s.rank, s.rankVersion = b.hosts.Rank(e.Incarnation(), 0), b.hostsVersion
+	}
+	return b.hosts.Share(total, s.rank)
 }
 
 // UpdateEndpoint applies an endpoint's registration; service is nil if it is
@@ -253,10 +270,10 @@
 		if now.Before(s.backoffUntil) || !includeSuspects && now.Before(s.suspectUntil) {
 			continue
 		}
-		if limit := criteria.Service.MaxConnections; limit > 0 && s.inFlight >= max(1, limit/b.hostCount) {
+		if limit := criteria.Service.MaxConnections; limit > 0 && s.inFlight >= max(1, b.hosts.Share(limit, math.MaxInt)) {
 			continue
 		}
-		if now.Before(s.coldUntil) && !b.allowsColdSend(s, criteria.Service, now) {
+		if now.Before(s.coldUntil) && !b.allowsColdSend(e, s, criteria.Service, now) {
 			continue
 		}
 		if !b.rateLimits.Allows(e.Incarnation(), false) {
@@ -292,14 +309,13 @@
 }
 
 // allowsColdSend reports whether this host may send another exchange to a cold
-// endpoint, and drops the sends that have left the window. Each host has an
-// equal share of the limit, rounded down, so the total holds without
-// coordination. The caller holds b.mu.
-func (b *Balancer) allowsColdSend(s *endpointState, service *catalog.Service, now time.Time) bool {
+// endpoint, and drops the sends that have left the window. Each host has a whole
+// share of the limit, so the total holds without coordination. The caller holds b.mu.
+func (b *Balancer) allowsColdSend(e *catalog.Endpoint, s *endpointState, service *catalog.Service, now time.Time) bool {
 	if service.WarmUpRate <= 0 {
 		return true
 	}
-	limit := int((service.WarmUpRate*b.coldSendLimit.Overrun + b.coldSendLimit.Slack) / float64(b.hostCount))
+	limit := b.share(e, s, int(service.WarmUpRate*b.coldSendLimit.Overrun+b.coldSendLimit.Slack))
 	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) > coldSendWindow })
 	return len(s.coldSends) < limit
 }
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -21,7 +21,7 @@
 func (c *manualClock) Now() time.Time { return c.now }
 
 func newBalancer(clock *manualClock, seed uint64) *Balancer {
-	return New("kranj", clock, rand.New(rand.NewPCG(seed, 1)), ColdSendLimit{Overrun: 1.5, Slack: 5}, ratelimit.New("edge-1", 1, clock, slog.New(slog.DiscardHandler)))
+	return New("edge-1", "kranj", clock, rand.New(rand.NewPCG(seed, 1)), ColdSendLimit{Overrun: 1.5, Slack: 5}, ratelimit.New("edge-1", 1, clock, slog.New(slog.DiscardHandler)))
 }
 
 // newEndpoints returns n endpoints, alternately in the host's zone and in
@@ -48,7 +48,7 @@
 		const hosts = 8
 		newHost := func(i int) *Balancer {
 			b := newBalancer(clock, uint64(i))
-			b.SetHostCount(hosts + 2)
+			b.SetHosts(nil, hosts+2)
 			b.UpdateEndpoint(cold, coldLimitedService, true)
 			return b
 		}
@@ -82,6 +82,43 @@
 	})
 }
 
+// hostIDs returns the ids of n hosts.
+func hostIDs(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("edge-", i))
+	}
+	return ids
+}
+
+// newFleet returns the balancers of n hosts that know each other.
+func newFleet(clock *manualClock, n int) []*Balancer {
+	balancers := make([]*Balancer, n)
+	for i, id := range hostIDs(n) {
+		balancers[i] = New(id, "kranj", clock, rand.New(rand.NewPCG(uint64(i), 1)), ColdSendLimit{Overrun: 1.5, Slack: 5}, ratelimit.New(id, 1, clock, slog.New(slog.DiscardHandler)))
+		balancers[i].SetHosts(hostIDs(n), 2)
+	}
+	return balancers
+}
+
+// TestManyHostsUseTheColdLimit guards against a cold endpoint that gets nothing because
+// there are more hosts than its limit allows sends, and against shares that exceed it.
+func TestManyHostsUseTheColdLimit(t *testing.T) {
+	is := is.New(t)
+	for _, hosts := range []int{8, 20, 82, 360} {
+		clock := &manualClock{now: time.Unix(100, 0)}
+		cold := &catalog.Endpoint{ID: "cold", Service: "pool", Slots: 64, Zone: "kranj", WarmUpRemaining: time.Hour}
+		sends := 0
+		for _, b := range newFleet(clock, hosts) {
+			b.UpdateEndpoint(cold, coldLimitedService, true)
+			for b.Pick([]*catalog.Endpoint{cold}, Criteria{Service: coldLimitedService}) != nil {
+				sends++
+			}
+		}
+		is.True(sends >= 15 && sends <= 21-2) // 11*1.5+5, less two hosts that may be unknown
+	}
+}
+
 func TestAllHostsPickSameEndpointForCacheKey(t *testing.T) {
 	is := is.New(t)
 	clock := &manualClock{now: time.Unix(0, 0)}
@@ -150,7 +187,7 @@
 func TestHostUsesOnlyItsShareOfConnections(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(&manualClock{now: time.Unix(0, 0)}, 1)
-	b.SetHostCount(8)
+	b.SetHosts(nil, 8)
 	small := &catalog.Service{Name: "dispatch", MaxConnections: 48}
 	list := newEndpoints(1)
 	for range 6 {
@@ -162,7 +199,7 @@
 func TestEndpointWithoutColdLimitIsPickedImmediately(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(&manualClock{now: time.Unix(0, 0)}, 1)
-	b.SetHostCount(20)
+	b.SetHosts(nil, 20)
 	plain := &catalog.Service{Name: "register"}
 	e := &catalog.Endpoint{ID: "a", Slots: 6, Zone: "kranj", WarmUpRemaining: 3 * time.Second}
 	b.UpdateEndpoint(e, plain, true)
@@ -173,7 +210,7 @@
 	is := is.New(t)
 	clock := &manualClock{now: time.Unix(0, 0)}
 	b := newBalancer(clock, 1)
-	b.SetHostCount(10)
+	b.SetHosts(nil, 10)
 	list := newEndpoints(1)
 	b.UpdateEndpoint(list[0], coldLimitedService, false)
 	for range 10 {
--- a/internal/core/ratelimit/fleet_test.go
+++ b/internal/core/ratelimit/fleet_test.go
@@ -140,7 +140,7 @@
 
 func (h *fleetHost) restart() {
 	h.limiter = ratelimit.New(h.id, 12, h, slog.New(slog.DiscardHandler))
-	h.balancer = balance.New("kranj", h, rand.New(rand.NewPCG(h.rng.Uint64(), 1)), balance.ColdSendLimit{}, h.limiter)
+	h.balancer = balance.New(h.id, "kranj", h, rand.New(rand.NewPCG(h.rng.Uint64(), 1)), balance.ColdSendLimit{}, h.limiter)
 	h.toldAt = make(map[string]time.Duration)
 	h.learnHosts()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -32,11 +30,6 @@
 )
 
 const (
-	// spareHosts is added to the number of known hosts when limits are divided
-	// among all hosts. It allows for hosts being replaced or not known yet.
-	spareHosts = 2
-	// defaultHosts is the assumed number of hosts until some are known.
-	defaultHosts = 12
 	// readinessPropagationTime is how long the platform may still send callers to
 	// this host after it becomes unready: two failed readiness checks and the time in which a
 	// caller connects.
@@ -99,10 +92,9 @@
 
 	mu sync.Mutex
 	// stopping is set once Stop is called.
-	stopping  bool
-	isolation isolationState
-	// limitDivisor is the number of hosts among which the limits are divided.
-	limitDivisor int
+	stopping    bool
+	isolation   isolationState
+	recentHosts recentHosts
 
 	stopOnce sync.Once
 	// interruptedRequests is the result of Stop.
@@ -114,14 +106,15 @@
 // hosts; it does not wait for the store.
 func Start(s Settings, p Platform, log *slog.Logger) (*Node, error) {
 	clock := port.SystemClock{}
-	n := &Node{settings: s, log: log, metrics: metrics.New()}
+	n := &Node{settings: s, log: log, metrics: metrics.New(), recentHosts: make(recentHosts)}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.rateLimits = ratelimit.New(s.HostID, defaultHosts, clock, log)
 	p.Endpoints.ObserveRateLimits(n.rateLimits.Observe)
-	n.balancer = balance.New(s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack}, n.rateLimits)
+	n.balancer = balance.New(s.HostID, s.Zone, clock, newRand(), balance.ColdSendLimit{Overrun: s.WarmUpOverrun, Slack: s.WarmUpSlack}, n.rateLimits)
 	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
-	n.divideLimits(defaultHosts)
+	n.balancer.SetHosts(nil, defaultHosts)
+	n.retryBudgets.SetHostCount(defaultHosts)
 	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli(), Cores: s.Cores, LinkMbps: s.LinkMbps}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() }, Clock: clock, Log: log})
 	n.overload = overload.New(clock, log, n.metrics.Scope)
@@ -244,31 +237,13 @@
 
 // SnapshotPublished implements facts.Observer.
 func (n *Node) SnapshotPublished(s *facts.Snapshot) {
-	if len(s.Hosts) > 0 {
-		n.divideLimits(len(s.Hosts) + spareHosts)
-		n.rateLimits.SetHosts(slices.Collect(maps.Keys(s.Hosts)))
-	}
+	n.divideLimits(s.Hosts, time.Now())
 	known := func(i catalog.Incarnation) bool { return s.Incarnations[i] }
 	n.balancer.Prune(known)
 	n.rateLimits.Prune(known)
 	n.stages.Refresh()
 }
 
-// divideLimits divides the limits on retries and on cold endpoints among the given
-// number of hosts. A smaller number than before is ignored, except after
-// defaultHosts, because a partitioned host does not know which hosts have joined.
-// defaultHosts itself always applies.
-func (n *Node) divideLimits(hosts int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	hostsKnown := hosts != defaultHosts
-	if !hostsKnown || n.limitDivisor == defaultHosts || hosts > n.limitDivisor {
-		n.limitDivisor = hosts
-		n.balancer.SetHostCount(hosts)
-		n.retryBudgets.SetHostCount(hosts)
-	}
-}
-
 // Stop shuts the host down. The host is unready at once, but serves callers that
 // still arrive until the platform has stopped sending them. Then it waits for
 // the requests in flight, up to the shutdown grace. Stop returns the number of
