Keep a large fleet within the connections that an endpoint accepts

Each host could have one connection to each endpoint whatever its share: 360 hosts would open 360 where an endpoint accepts 270 and resets the rest. The shares are now those of the limit on cold endpoints.

TestManyHostsKeepToTheConnectionsOfAnEndpoint failed before with 360 hosts.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -270,7 +269,7 @@
 		if now.Before(s.backoffUntil) || !includeSuspects && now.Before(s.suspectUntil) {
 			continue
 		}
-		if limit := criteria.Service.MaxConnections; limit > 0 && s.inFlight >= max(1, b.hosts.Share(limit, math.MaxInt)) {
+		if limit := criteria.Service.MaxConnections; limit > 0 && s.inFlight >= b.share(e, s, limit) {
 			continue
 		}
 		if now.Before(s.coldUntil) && !b.allowsColdSend(e, s, criteria.Service, now) {
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -196,6 +196,22 @@
 	is.Equal(b.Pick(list, Criteria{Service: small}), nil)
 }
 
+// TestManyHostsKeepToTheConnectionsOfAnEndpoint guards against hosts that have one
+// connection each to an endpoint that accepts fewer than there are hosts.
+func TestManyHostsKeepToTheConnectionsOfAnEndpoint(t *testing.T) {
+	is := is.New(t)
+	service := &catalog.Service{Name: "pool", MaxConnections: 270}
+	for _, hosts := range []int{8, 82, 360} {
+		inFlight := 0
+		for _, b := range newFleet(&manualClock{now: time.Unix(100, 0)}, hosts) {
+			for b.Pick([]*catalog.Endpoint{{ID: "e", Service: "pool", Slots: 64}}, Criteria{Service: service}) != nil {
+				inFlight++
+			}
+		}
+		is.True(inFlight >= 200 && inFlight <= 270)
+	}
+}
+
 func TestEndpointWithoutColdLimitIsPickedImmediately(t *testing.T) {
 	is := is.New(t)
 	b := newBalancer(&manualClock{now: time.Unix(0, 0)}, 1)
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -107,8 +107,8 @@
 type Service struct {
 	Name string
 	// MaxConnections limits the requests in flight from all hosts to one endpoint,
-	// each on a connection of its own. Each host may use an equal part of the
-	// limit, at least 1. 0 means no limit.
+	// each on a connection of its own. Each host may use a whole share of the limit,
+	// which is none for some if there are more hosts. 0 means no limit.
 	MaxConnections int
 	// WarmUpTime is how long an endpoint stays cold after its start.
 	WarmUpTime time.Duration
