Log the software versions of endpoints and which streams callers take up

The logs could not tell whether a stream with events of two versions went on within a response or in a caller's new attempt, nor at which version a host believed an endpoint to be. No decision uses either yet.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -168,6 +168,10 @@
 	Address string
 	// Zone is the endpoint's availability zone.
 	Zone string
+	// SoftwareVersion is the version of the endpoint's software, not that of its model's
+	// weights nor that of the configuration; empty if unknown. Streams of different
+	// versions don't fit together.
+	SoftwareVersion string
 	// Slots is the number of requests that the endpoint can run at once.
 	Slots int
 	// Draining means that the endpoint is shutting down and gets no new requests.
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -128,7 +128,7 @@
 	}
 	r.attempts++
 	r.attempted[e.ID] = true
-	r.record.endpoint, r.record.zone = e.ID, e.Zone
+	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	var load *port.EndpointLoad
 	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, Customer: r.customer, Remaining: r.remainingTime(),
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -15,6 +15,8 @@
 	// endpoint and zone are those of the last attempt.
 	endpoint string
 	zone     string
+	// softwareVersion is that of the endpoint's entry when the attempt started.
+	softwareVersion string
 	// rateLimit is the limit that this endpoint had named, in requests a second, when
 	// the attempt started; rateLimited is false if it had named none.
 	rateLimit   float64
@@ -40,7 +42,7 @@
 // logFailedAttempt logs a failed attempt and counts it in the metrics.
 func (r *exchangeRun) logFailedAttempt(e *catalog.Endpoint, err error, willRetry bool) {
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", slog.String("request", r.exchange.ID), slog.String("endpoint", e.ID),
-		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.attempts), slog.Int("ran", r.executedAttempts),
+		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.attempts), slog.Int("ran", r.executedAttempts),
 		slog.String("resume_from", r.stream.lastEventID), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
 		slog.Bool("left_alone", r.cfg.Balancer.Unavailable(e)), slog.Bool("repeats", willRetry))
 	if r.cfg.Metrics != nil {
@@ -70,6 +72,12 @@
 	if r.record.status > 0 {
 		attrs = append(attrs, slog.Int("status", r.record.status))
 	}
+	if r.record.softwareVersion != "" {
+		attrs = append(attrs, slog.String("software_version", r.record.softwareVersion))
+	}
+	if r.exchange.ResumeFrom != "" {
+		attrs = append(attrs, slog.String("caller_resumes_from", r.exchange.ResumeFrom), slog.String("first_attempt", r.exchange.FirstAttempt))
+	}
 	if r.record.rateLimited {
 		attrs = append(attrs, slog.Float64("endpoint_rate_limit", r.record.rateLimit))
 	}
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -179,7 +179,7 @@
 	old := s.endpoints[item.Key]
 	if old == nil || old.Draining != e.Draining || old.StartedUnixMs != e.StartedUnixMs || old.Address != e.Address {
 		cfg.Log.Info("endpoint", slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
-			slog.String("zone", e.Zone), slog.Bool("draining", e.Draining), slog.Int64("born", e.StartedUnixMs), slog.Int64("revision", e.Revision))
+			slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Bool("draining", e.Draining), slog.Int64("born", e.StartedUnixMs), slog.Int64("revision", e.Revision))
 	}
 	s.endpoints[item.Key] = e
 	cfg.Observer.EndpointUpdated(e, s.service(e), afterFirstRead)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -48,6 +48,9 @@
 	// ResumeFrom is the id of the last event of the stream that the caller has
 	// already received; empty for none.
 	ResumeFrom string
+	// FirstAttempt is the id of the caller's attempt that brought the first event of
+	// the stream that this one takes up; empty if the caller names none.
+	FirstAttempt string
 	// PieceCounts holds the number of pieces of each stage of the route, by the
 	// stage's index. A missing count is 0.
 	PieceCounts []int
