Resume a stream only at the software version that began it

The origin of a stream, its service and software version, is fixed at its first event. The host's own retries keep to it. For a caller's next attempt it is recorded at two other hosts, by rendezvous hashing of the attempt's id, before the first event leaves, unless all streams of the route can only have begun at one version: then no message is sent. A stream whose origin is not known, or of whose version no endpoint is left, is refused at once as not run; it is never guessed.

A request to a host of a build without its handler no longer makes the host suspected.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -85,6 +85,10 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// ResumableStream reports whether the route's responses are streams that can be
+// resumed at another endpoint.
+func (r *Route) ResumableStream() bool { return r.Kind == Stream && r.Resumable }
+
 // WeightedService is a service and its weight in a route's traffic split.
 type WeightedService struct {
 	Service string
--- /dev/null
+++ b/internal/core/origin/history.go
@@ -0,0 +1,110 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+)
+
+const (
+	// versionRetention is how long a version counts as in use after its last
+	// registration. An endpoint whose registration has lapsed may go on serving a
+	// zone that is cut off from the store.
+	versionRetention = 5 * time.Minute
+	// lingerTime is how long a stream may outlive its route's timeout: a caller's
+	// further attempts and an endpoint that serves on after it was removed.
+	lingerTime = 10 * time.Second
+	// DefaultTimeout is the timeout of routes without one.
+	DefaultTimeout = 10 * time.Second
+)
+
+// History holds the versions at which streams of each route can have begun. It is not
+// safe for concurrent use.
+type History struct {
+	// completeSince is the time from which no version is missing.
+	completeSince time.Time
+	// startedFirst means that no stream began before the history.
+	startedFirst bool
+	// lastSeen holds, by route name, the versions with the time at which each was
+	// registered last.
+	lastSeen map[string]map[version]time.Time
+	timeouts map[string]time.Duration
+}
+
+// version is a software version of a service.
+type version struct{ service, software string }
+
+// NewHistory returns an empty history that begins now. startedFirst says that the whole
+// system starts for the first time, so that there are no streams yet.
+func NewHistory(now time.Time, startedFirst bool) *History {
+	return &History{completeSince: now, startedFirst: startedFirst, lastSeen: make(map[string]map[version]time.Time), timeouts: make(map[string]time.Duration)}
+}
+
+// Observe adds what is registered now: the configuration's resumable routes and the
+// usable endpoints by service.
+func (h *History) Observe(now time.Time, config *catalog.Config, usable map[string][]*catalog.Endpoint) {
+	if config == nil {
+		return
+	}
+	versions := make(map[string]map[version]bool) // by service
+	for service, endpoints := range usable {
+		versions[service] = make(map[version]bool)
+		for _, e := range endpoints {
+			versions[service][version{service, e.SoftwareVersion}] = true
+		}
+	}
+	for _, r := range config.Routes {
+		if !r.ResumableStream() {
+			continue
+		}
+		if h.lastSeen[r.Name] == nil {
+			h.lastSeen[r.Name] = make(map[version]time.Time)
+		}
+		h.timeouts[r.Name] = max(h.timeouts[r.Name], r.Timeout, DefaultTimeout)
+		for _, s := range r.TrafficSplit {
+			for v := range versions[s.Service] {
+				h.lastSeen[r.Name][v] = now
+			}
+		}
+	}
+	h.forget(now)
+}
+
+// forget drops the versions, and routes without any, that are no longer in use.
+func (h *History) forget(now time.Time) {
+	for route, versions := range h.lastSeen {
+		for v, seen := range versions {
+			if now.Sub(seen) > versionRetention {
+				delete(versions, v)
+			}
+		}
+		if len(versions) == 0 {
+			delete(h.lastSeen, route)
+			delete(h.timeouts, route)
+		}
+	}
+}
+
+// Sole returns the origin of all streams of a route that may still go on, if there is
+// only one, as of the last Observe.
+func (h *History) Sole(route string, now time.Time) (Origin, bool) {
+	versions := h.lastSeen[route]
+	if len(versions) != 1 || !h.startedFirst && now.Sub(h.completeSince) < h.timeouts[route]+lingerTime {
+		return Origin{}, false
+	}
+	for v := range versions {
+		return Origin{Service: v.service, SoftwareVersion: v.software}, v.software != ""
+	}
+	return Origin{}, false
+}
+
+// Excludes reports whether streams of a route may go on that began elsewhere than at an
+// origin, as far as the history reaches.
+func (h *History) Excludes(route string, o Origin) bool {
+	for v := range h.lastSeen[route] {
+		if v != (version{o.Service, o.SoftwareVersion}) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,7 @@
 	"github.com/pimentorill/pimentorill/internal/exchange"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/health"
+	"github.com/pimentorill/pimentorill/internal/origins"
 	"github.com/pimentorill/pimentorill/internal/overload"
 	"github.com/pimentorill/pimentorill/internal/peering"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -34,6 +37,9 @@
 	// this host after it becomes unready: two failed readiness checks and the time in which a
 	// caller connects.
 	readinessPropagationTime = 2500 * time.Millisecond
+	// firstStartSpread bounds the time within which all hosts start when the whole
+	// system starts for the first time, with the differences of their clocks.
+	firstStartSpread = 10 * time.Second
 	// shutdownMargin is the part of the shutdown grace that is reserved for closing
 	// connections and tasks.
 	shutdownMargin = 500 * time.Millisecond
@@ -73,19 +79,22 @@
 
 // Node is a running host. Its exported methods may be called concurrently.
 type Node struct {
-	settings      Settings
-	log           *slog.Logger
-	replica       *facts.Replica
-	balancer      *balance.Balancer
-	retryBudgets  *quota.RetryBudgets
-	rateLimits    *ratelimit.Limiter
-	health        *health.Monitor
-	overload      *overload.Monitor
-	stages        *stagework.Dispatcher
-	server        *exchange.Server
-	callerServer  CallerServer
-	group         *peering.Group
-	metrics       *metrics.Metrics
+	settings     Settings
+	log          *slog.Logger
+	replica      *facts.Replica
+	balancer     *balance.Balancer
+	retryBudgets *quota.RetryBudgets
+	rateLimits   *ratelimit.Limiter
+	health       *health.Monitor
+	overload     *overload.Monitor
+	stages       *stagework.Dispatcher
+	server       *exchange.Server
+	callerServer CallerServer
+	group        *peering.Group
+	origins      *origins.Registry
+	metrics      *metrics.Metrics
+	// startedUnixMs is the start of this host in Unix milliseconds.
+	startedUnixMs int64
 	stopReadiness func()
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
@@ -115,7 +124,8 @@
 	n.retryBudgets = quota.NewRetryBudgets(quota.RetryLimit{Ratio: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, clock)
 	n.balancer.SetHosts(nil, defaultHosts)
 	n.retryBudgets.SetHostCount(defaultHosts)
-	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: time.Now().UnixMilli(), Cores: s.Cores, LinkMbps: s.LinkMbps}
+	n.startedUnixMs = time.Now().UnixMilli()
+	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: n.startedUnixMs, Cores: s.Cores, LinkMbps: s.LinkMbps}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() }, Clock: clock, Log: log})
 	n.overload = overload.New(clock, log, n.metrics.Scope)
 	group, err := peering.Listen(peering.Config{Self: self, KeyPrefix: p.KeyPrefix, Store: p.Store, Clock: clock, Log: log,
@@ -129,11 +139,12 @@
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		RefusedFingerprint: crashing.RefusedFingerprint, FetchFromPeer: sharing.fetchFromPeer})
 	sharing.handleRequests(n.replica)
+	n.origins = origins.New(origins.Config{Peers: group, Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: p.Endpoints, Health: n.health, RateLimits: n.rateLimits, LookupService: n.stageService,
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
 		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
-		RateLimits: n.rateLimits, Regions: s.Regions, Metrics: n.metrics.Scope})
+		RateLimits: n.rateLimits, Origins: n.origins, Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.callerServer, err = p.Listen(n.server); err != nil {
 		cancel()
 		return nil, err
@@ -238,12 +249,21 @@
 // SnapshotPublished implements facts.Observer.
 func (n *Node) SnapshotPublished(s *facts.Snapshot) {
 	n.divideLimits(s.Hosts, time.Now())
+	n.origins.Observe(s)
 	known := func(i catalog.Incarnation) bool { return s.Incarnations[i] }
 	n.balancer.Prune(known)
 	n.rateLimits.Prune(known)
 	n.stages.Refresh()
 }
 
+// startedFirst reports whether the whole system starts for the first time: the settings
+// say so, and no other host started long before this one.
+func (n *Node) startedFirst(s *facts.Snapshot) bool {
+	return n.settings.FirstStart && !slices.ContainsFunc(slices.Collect(maps.Values(s.Hosts)), func(h facts.Host) bool {
+		return h.StartedUnixMs < n.startedUnixMs-firstStartSpread.Milliseconds()
+	})
+}
+
 // Stop shuts the host down. The host is unready at once, but serves callers that
 // still arrive until the platform has stopped sending them. Then it waits for
 // the requests in flight, up to the shutdown grace. Stop returns the number of
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -6,6 +6,8 @@
 type Settings struct {
 	// HostID identifies the host among all hosts.
 	HostID string
+	// FirstStart means that the whole system starts for the first time.
+	FirstStart bool
 	// Zone is the availability zone of the host.
 	Zone string
 	// Regions maps each zone to its region.
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -130,13 +130,14 @@
 	r.attempted[e.ID] = true
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
+	r.announceOrigin(e)
 	var load *port.EndpointLoad
 	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.inputHandles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
 	startedAt := r.cfg.Clock.Now()
 	err := r.cfg.Endpoints.Forward(ctx, request, func(response *port.EndpointResponse) error {
 		load = response.Load
-		return r.handleResponse(response, cancel, startedAt)
+		return r.handleResponse(ctx, response, cancel, startedAt)
 	})
 	if err != nil && verdict.Of(err) != verdict.NotRun {
 		r.executedAttempts++
@@ -199,14 +200,14 @@
 // if the whole response was forwarded to the caller. It stores a server error of
 // a repeatable request in r.fallback instead and returns an error. startedAt is
 // when the attempt started, and cancel ends the attempt.
-func (r *exchangeRun) handleResponse(response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
+func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
 	switch {
 	case response.NotRun:
 		return refusalError(response)
 	case response.ContentEncoded, isSuccess(response.Status) && (!response.Signed || !response.HasAttemptID):
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
-		return r.forwardStream(response, cancel, startedAt)
+		return r.forwardStream(ctx, response, cancel, startedAt)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil || len(body) > maxResponseBytes {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -15,12 +15,14 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/origin"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
 	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/health"
+	"github.com/pimentorill/pimentorill/internal/origins"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
@@ -53,6 +55,7 @@
 	Stages       *stagework.Dispatcher
 	CrashTracker *crashing.Tracker
 	Health       *health.Monitor
+	Origins      *origins.Registry
 	// Regions maps each zone to its region.
 	Regions map[string]string
 	Clock   port.Clock
@@ -142,7 +145,14 @@
 	// if there is none. It is forwarded if the exchange is abandoned.
 	fallback *bufferedResponse
 	stream   streamState
-	record   logRecord
+	// origin is where the stream began: it may go on only there. It is nil before the
+	// first event of a stream that the caller doesn't take up, and for other exchanges.
+	origin *origin.Origin
+	// attemptOrigin is the origin if the current attempt brings the first event, and
+	// announcement tells it to other hosts; nil if they need not know.
+	attemptOrigin origin.Origin
+	announcement  *origins.Announcement
+	record        logRecord
 }
 
 // Exchange handles one exchange and writes its response, or an error, to out. The
@@ -219,6 +229,11 @@
 	ctx, cancel := context.WithDeadline(parent, r.deadline)
 	defer cancel()
 	defer r.freeResults()
+	if r.takesUpStream() {
+		if err := r.findOrigin(ctx); err != nil {
+			return err
+		}
+	}
 	r.cfg.RetryBudgets.RecordFirstAttempts(r.service.Name, 1)
 	if len(r.route.Stages) > 0 && !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria("")) {
 		if _, limited := r.cfg.Balancer.RateLimitWait(r.eligibleEndpoints(), r.criteria(""), maxRateLimitRetry); limited {
@@ -233,9 +248,10 @@
 }
 
 // eligibleEndpoints returns the service's endpoints in the newest snapshot that
-// are available and lie in regions that route and customer allow.
+// are available, lie in regions that route and customer allow, and at which the stream
+// may go on if it has begun.
 func (r *exchangeRun) eligibleEndpoints() []*catalog.Endpoint {
-	all := r.cfg.Health.Available(r.cfg.Snapshot().Usable[r.service.Name])
+	all := r.mayContinue(r.cfg.Health.Available(r.cfg.Snapshot().Usable[r.service.Name]))
 	if len(r.route.Regions) == 0 && len(r.customerRegions) == 0 {
 		return all
 	}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -46,7 +46,7 @@
 // forwardStream forwards events as they arrive. It forwards only complete
 // events, so that the stream can be resumed at another endpoint. A stream that
 // ends without an event or within one is an error.
-func (r *exchangeRun) forwardStream(response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
+func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
 	stall := r.stallTimer(cancel)
 	defer stall.Stop()
 	var pending []byte
@@ -58,7 +58,7 @@
 		if lastEnd >= 0 {
 			stall.Reset(r.stallTimeout())
 			events := pending[:lastEnd+len(eventEnd)]
-			if err := r.forwardEvents(response, events, startedAt); err != nil {
+			if err := r.forwardEvents(ctx, response, events, startedAt); err != nil {
 				return err
 			}
 			pending = append(pending[:0], pending[len(events):]...)
@@ -94,14 +94,15 @@
 
 // forwardEvents sends complete events to the caller, except those that the caller
 // already has. At the first event of the exchange, it frees the stage results,
-// which the endpoint has fetched by then.
-func (r *exchangeRun) forwardEvents(response *port.EndpointResponse, events []byte, startedAt time.Time) error {
+// which the endpoint has fetched by then, and fixes the stream's origin.
+func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time) error {
 	if r.record.timeToFirstEvent == 0 {
 		r.record.timeToFirstEvent = r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
 		r.recordTimeToFirstEvent(r.cfg.Clock.Now().Sub(startedAt))
 		r.freeResults()
 	}
 	if !r.stream.started {
+		r.fixOrigin(ctx)
 		r.stream.started = true
 		r.record.status = response.Status
 		if err := r.responder.WriteHeader(response.Status, response.Header, -1); err != nil {
--- /dev/null
+++ b/internal/origins/origins.go
@@ -0,0 +1,372 @@
+// Package origins tells the hosts at which software version a stream began, so that any
+// of them can resume it there when a caller takes it up: the host that began it is
+// often gone by then.
+//
+// A host records a stream with two others, selected by rendezvous hashing of the id of
+// the caller's attempt, unless all streams of the route can only have begun at one
+// version. The record is sent when the attempt starts and is acknowledged, in most cases
+// long, before the first event, which waits for it. Whoever resumes the stream asks the
+// hosts that come first in the same order. A stream whose origin nobody knows is not
+// resumed: the origin is never guessed.
+package origins
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/pimentorill/pimentorill/internal/core/membership"
+	"github.com/pimentorill/pimentorill/internal/core/origin"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+// Kinds of requests between hosts.
+const (
+	// kindPut carries a putRequest.
+	kindPut = "origin.put"
+	// kindGet carries a getRequest; the response is a getResponse.
+	kindGet = "origin.get"
+)
+
+const (
+	// replicas is the number of other hosts that hold a record.
+	replicas = 2
+	// askedHosts is the number of hosts that are asked for a record: more than replicas,
+	// since some may have been out of reach or unknown when it was made.
+	askedHosts = 5
+	// putTimeout bounds a request to hold a record.
+	putTimeout = 400 * time.Millisecond
+	// ackWait bounds how long the first event waits until another host holds the record.
+	ackWait = 100 * time.Millisecond
+	// getTimeout bounds the search for a record.
+	getTimeout = 250 * time.Millisecond
+	// recordMargin is how long a record is held after its stream's deadline.
+	recordMargin = 10 * time.Second
+	// maxLifetime bounds how long a record is held.
+	maxLifetime = 10 * time.Minute
+	// maxSoleAge bounds the age of the facts by which a host that can't reach the store
+	// still says that a route has a single version. Hosts that can reach it record
+	// all streams for longer after another version is registered.
+	maxSoleAge = 4 * time.Minute
+)
+
+// Peers connects to the other hosts. Implementations are safe for concurrent use.
+type Peers interface {
+	// Self returns this host's id.
+	Self() string
+	// Others returns the ids of the other known hosts that respond.
+	Others() []string
+	// Ask sends a request to another host and returns its response. The error is a
+	// *verdict.Error.
+	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
+	// Handle sets the handler for requests of a kind. New calls it.
+	Handle(kind string, fn port.RequestHandler)
+}
+
+// Config holds the dependencies of a Registry.
+type Config struct {
+	Peers Peers
+	// Snapshot returns the newest snapshot, never nil.
+	Snapshot func() *facts.Snapshot
+	// StartedFirst reports, by the first snapshot with a configuration, whether the whole
+	// system starts for the first time.
+	StartedFirst func(s *facts.Snapshot) bool
+	Clock        port.Clock
+	Log          *slog.Logger
+	// Metrics may be nil; then no metrics are recorded.
+	Metrics tally.Scope
+}
+
+// Registry holds what this host knows of the origins of streams. It is safe for
+// concurrent use.
+type Registry struct {
+	cfg Config
+
+	mu sync.Mutex
+	// history is nil until the first snapshot with a configuration.
+	history *origin.History
+	records *origin.Records
+}
+
+// New returns an empty Registry and registers its handlers for requests of other
+// hosts.
+func New(cfg Config) *Registry {
+	r := &Registry{cfg: cfg, records: origin.NewRecords()}
+	cfg.Peers.Handle(kindPut, r.handlePut)
+	cfg.Peers.Handle(kindGet, r.handleGet)
+	return r
+}
+
+// putRequest asks a host to hold a record for some time.
+type putRequest struct {
+	Record   origin.Record `cbor:"1,keyasint"`
+	Lifetime time.Duration `cbor:"2,keyasint"`
+}
+
+// getRequest asks a host for the record of an attempt of a route.
+type getRequest struct {
+	Attempt string `cbor:"1,keyasint"`
+	Route   string `cbor:"2,keyasint"`
+}
+
+// getResponse is what a host knows: a record, if HasRecord is set, or the origin of all
+// streams of the route, if HasSole is.
+type getResponse struct {
+	HasRecord bool          `cbor:"1,keyasint,omitempty"`
+	Record    origin.Record `cbor:"2,keyasint,omitempty"`
+	HasSole   bool          `cbor:"3,keyasint,omitempty"`
+	Sole      origin.Origin `cbor:"4,keyasint,omitempty"`
+}
+
+// Observe adds what a snapshot says to the history.
+func (r *Registry) Observe(s *facts.Snapshot) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	if r.history == nil {
+		if s.Config == nil {
+			return
+		}
+		r.history = origin.NewHistory(now, r.cfg.StartedFirst(s))
+	}
+	r.history.Observe(now, s.Config, s.Usable)
+}
+
+// sole returns the origin of all streams of a route that may still go on, if there is
+// only one according to facts that the store confirmed at most maxAge ago.
+func (r *Registry) sole(route string, maxAge time.Duration) (origin.Origin, bool) {
+	now := r.cfg.Clock.Now()
+	s := r.cfg.Snapshot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.history == nil || now.Sub(s.ConfirmedAt) > maxAge || now.Round(0).Sub(s.ConfirmedAt.Round(0)) > maxAge {
+		return origin.Origin{}, false
+	}
+	return r.history.Sole(route, now)
+}
+
+// freshSole is sole by facts that are not stale.
+func (r *Registry) freshSole(route string) (origin.Origin, bool) {
+	if r.cfg.Snapshot().Stale(r.cfg.Clock.Now()) {
+		return origin.Origin{}, false
+	}
+	return r.sole(route, maxSoleAge)
+}
+
+// Announcement is a record on its way to other hosts.
+type Announcement struct {
+	registry *Registry
+	record   origin.Record
+	// held is closed once as many other hosts as necessary hold the record.
+	held chan struct{}
+}
+
+// Announce records the origin of the stream that an attempt may begin, unless that is
+// not needed; then it returns nil. sequence orders the announcements of one attempt, and
+// remaining is the time until the stream's deadline.
+func (r *Registry) Announce(route, attempt string, sequence int, o origin.Origin, remaining time.Duration) *Announcement {
+	if sole, ok := r.freshSole(route); ok && sole.Service == o.Service && sole.SoftwareVersion == o.SoftwareVersion {
+		return nil
+	}
+	a := &Announcement{registry: r, record: origin.Record{Attempt: attempt, Origin: o, Sequence: sequence}, held: make(chan struct{})}
+	lifetime := remaining + recordMargin
+	r.put(a.record, lifetime)
+	payload, err := cbor.Marshal(putRequest{a.record, lifetime})
+	if err != nil {
+		r.cfg.Log.Error("origin of a stream can't be encoded", slog.Any("error", err))
+		return a
+	}
+	hosts := membership.SelectByRendezvous(r.holders(), attempt, replicas)
+	if len(hosts) == 0 {
+		close(a.held) // nobody to wait for
+		r.count("origins_not_replicated_total")
+		return a
+	}
+	var missing atomic.Int64
+	missing.Store(1)
+	if sequence > 1 {
+		// Each of the hosts may hold the origin of an attempt that brought no event.
+		missing.Store(int64(len(hosts)))
+	}
+	for _, host := range hosts {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
+			defer cancel()
+			if _, err := r.cfg.Peers.Ask(ctx, host, kindPut, payload); err == nil && missing.Add(-1) == 0 {
+				close(a.held)
+			}
+		}()
+	}
+	r.count("origins_recorded_total")
+	return a
+}
+
+// holders returns the ids of the other hosts that respond and are not shutting down.
+func (r *Registry) holders() []string {
+	hosts := r.cfg.Snapshot().Hosts
+	return slices.DeleteFunc(r.cfg.Peers.Others(), func(id string) bool { return hosts[id].Leaving })
+}
+
+// Wait waits until another host holds the record, for ackWait at most. Without one the
+// stream can be resumed only by this host. a may be nil.
+func (a *Announcement) Wait(ctx context.Context) {
+	if a == nil {
+		return
+	}
+	timeout := time.NewTimer(ackWait)
+	defer timeout.Stop()
+	select {
+	case <-a.held:
+	case <-ctx.Done():
+	case <-timeout.C:
+		a.registry.count("origins_not_replicated_total")
+		a.registry.cfg.Log.Warn("origin of a stream is with no other host", slog.String("request", a.record.Attempt), slog.String("software_version", a.record.Origin.SoftwareVersion))
+	}
+}
+
+func (r *Registry) put(record origin.Record, lifetime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Clock.Now()
+	r.records.Put(record, now, now.Add(lifetime))
+}
+
+// Find returns the origin of the stream that an attempt began; attempt is empty if the
+// caller names none. It reports false if the origin is not known.
+func (r *Registry) Find(ctx context.Context, route, attempt string) (origin.Origin, bool) {
+	own := r.lookUp(getRequest{attempt, route})
+	if own.HasRecord {
+		return known(own.Record.Origin)
+	}
+	others := membership.SelectByRendezvous(r.cfg.Peers.Others(), attempt, askedHosts)
+	if attempt == "" {
+		others = nil
+	}
+	answers := r.askAll(ctx, others, getRequest{attempt, route})
+	if answers.record != nil {
+		return known(answers.record.Origin)
+	}
+	// Without a record the stream began while there was a single version, or its record
+	// is lost. In the second case this host or another one knows of two versions.
+	sole, ok := own.Sole, own.HasSole
+	for _, o := range answers.soles {
+		if ok && o != sole || r.excludes(route, o) {
+			return origin.Origin{}, false
+		}
+		sole, ok = o, true
+	}
+	if ok {
+		return sole, true
+	}
+	// Without the store no host is sure that no version has been registered since. But
+	// then the stream would have a record, and all hosts that would hold it have none.
+	if o, ok := r.sole(route, maxSoleAge); ok && answers.responses >= replicas && answers.responses == len(others) {
+		return o, true
+	}
+	return origin.Origin{}, false
+}
+
+// excludes reports whether this host knows of streams of a route that began elsewhere.
+func (r *Registry) excludes(route string, o origin.Origin) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history != nil && r.history.Excludes(route, o)
+}
+
+func known(o origin.Origin) (origin.Origin, bool) { return o, o.Known() }
+
+// answers is what other hosts know.
+type answers struct {
+	// record is the record with the highest sequence, nil if no host has one: a host that
+	// missed a record may hold an older one of the attempt.
+	record *origin.Record
+	// soles holds the origins that hosts tell to be those of all streams of the route.
+	soles     []origin.Origin
+	responses int
+}
+
+// askAll asks hosts at the same time and waits for all responses, for getTimeout at
+// most.
+func (r *Registry) askAll(ctx context.Context, hosts []string, request getRequest) answers {
+	var out answers
+	payload, err := cbor.Marshal(request)
+	if err != nil {
+		r.cfg.Log.Error("request for a stream's origin can't be encoded", slog.Any("error", err))
+		return out
+	}
+	ctx, cancel := context.WithTimeout(ctx, getTimeout)
+	defer cancel()
+	received := make(chan *getResponse, len(hosts))
+	for _, host := range hosts {
+		go func() { received <- r.ask(ctx, host, payload) }()
+	}
+	for range hosts {
+		response := <-received
+		if response == nil {
+			continue
+		}
+		out.responses++
+		if response.HasSole {
+			out.soles = append(out.soles, response.Sole)
+		}
+		if response.HasRecord && (out.record == nil || response.Record.Sequence > out.record.Sequence) {
+			out.record = &response.Record
+		}
+	}
+	return out
+}
+
+// ask returns a host's response, nil if there is none.
+func (r *Registry) ask(ctx context.Context, host string, payload []byte) *getResponse {
+	raw, err := r.cfg.Peers.Ask(ctx, host, kindGet, payload)
+	if err != nil {
+		return nil
+	}
+	response := &getResponse{}
+	if err := cbor.Unmarshal(raw, response); err != nil {
+		r.cfg.Log.Warn("origin of a stream can't be decoded", slog.String("host", host), slog.Any("error", err))
+		return nil
+	}
+	return response
+}
+
+// lookUp returns what this host knows itself.
+func (r *Registry) lookUp(request getRequest) getResponse {
+	var response getResponse
+	response.Sole, response.HasSole = r.freshSole(request.Route)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	response.Record, response.HasRecord = r.records.Get(request.Attempt, r.cfg.Clock.Now())
+	return response
+}
+
+func (r *Registry) handlePut(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	var request putRequest
+	if err := cbor.Unmarshal(payload, &request); err != nil {
+		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "origin of a stream can't be read")
+	}
+	r.put(request.Record, min(request.Lifetime, maxLifetime))
+	return []byte{1}, nil
+}
+
+func (r *Registry) handleGet(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	var request getRequest
+	if err := cbor.Unmarshal(payload, &request); err != nil {
+		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "request for a stream's origin can't be read")
+	}
+	return cbor.Marshal(r.lookUp(request))
+}
+
+func (r *Registry) count(name string) {
+	if r.cfg.Metrics != nil {
+		r.cfg.Metrics.Counter(name).Inc(1)
+	}
+}
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -15,7 +15,8 @@
 // has not joined the group yet.
 //
 // The host is suspected after any error, including one that it returned itself,
-// except CodeNoCapacity, and unless ctx ended first. It is also suspected if a
+// except CodeNoCapacity and CodeNotFound (an older build without a handler for the
+// kind), and unless ctx ended first. It is also suspected if a
 // ping of it fails during the request, which cancels the request.
 func (g *Group) Ask(ctx context.Context, id, kind string, payload []byte) ([]byte, error) {
 	host, known := g.cfg.Hosts()[id]
@@ -29,12 +30,19 @@
 	stop := context.AfterFunc(requests.ctx, cancel)
 	defer stop()
 	response, err := t.Ask(callCtx, host.Address, kind, payload)
-	if err != nil && ctx.Err() == nil && (requests.ctx.Err() != nil || verdict.From(err).Code != verdict.CodeNoCapacity) {
+	if err != nil && ctx.Err() == nil && (requests.ctx.Err() != nil || !isOwnRefusal(err)) {
 		g.suspectAndPingCandidates(id, err)
 	}
 	return response, err
 }
 
+// isOwnRefusal reports whether an error shows that the host is alive: it has no capacity
+// for the request, or is of a build that does not handle its kind.
+func isOwnRefusal(err error) bool {
+	code := verdict.From(err).Code
+	return code == verdict.CodeNoCapacity || code == verdict.CodeNotFound
+}
+
 // beginRequest counts a request to a host as in flight and has the host pinged
 // while there are any. It returns the requests in flight to the host, for
 // endRequest, and the transport, nil if this host has not joined the group yet.
