--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -34,6 +34,10 @@
 	// readBufferBytes is the size of a connection's read buffer. It also limits the size
 	// of a response header.
 	readBufferBytes = 8 << 10
+	// maxDiscardedBytes and discardTimeout bound what is read of a body that nobody needs
+	// so that the connection can be reused.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 250 * time.Millisecond
 )
 
 // ErrTooLarge means that a response body exceeded its size limit.
@@ -116,7 +120,7 @@
 	// Write writes the request to w, which is flushed afterwards.
 	Write func(w *bufio.Writer) error
 	// Matches reports whether a response belongs to this call; other responses are
-	// read completely and discarded. If it is nil, the first response is used.
+	// discarded. If it is nil, the first response is used.
 	Matches func(*fasthttp.Response) bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
@@ -173,21 +177,26 @@
 		if call.Matches == nil || call.Matches(resp) {
 			return readResponse(c, resp, call)
 		}
-		if !discardResponse(resp) {
+		if !c.discardRest(resp) {
 			return false, ErrUnexpectedResponse
 		}
 	}
 	return false, ErrUnexpectedResponse
 }
 
-// discardResponse reads a response completely. It reports whether the connection
-// can still be used.
-func discardResponse(resp *fasthttp.Response) bool {
-	if resp.BodyStream() == nil {
-		return !resp.ConnectionClose()
+// discardRest reads the rest of a response's body, up to maxDiscardedBytes and for
+// discardTimeout at most. It reports whether the connection can still be used.
+func (c *conn) discardRest(resp *fasthttp.Response) bool {
+	body := resp.BodyStream()
+	if resp.ConnectionClose() {
+		return false
 	}
-	_, err := io.Copy(io.Discard, resp.BodyStream())
-	return err == nil && !resp.ConnectionClose()
+	if body == nil {
+		return true
+	}
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // readResponse passes the response to call.Read and reports whether the connection
@@ -196,7 +205,7 @@
 	if err := call.Read(resp); err != nil {
 		return false, err
 	}
-	if resp.ConnectionClose() || !isFullyRead(resp.BodyStream()) {
+	if !c.discardRest(resp) {
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
@@ -220,17 +229,6 @@
 	return 0
 }
 
-// isFullyRead reports whether the body has been read to its end. It reads a byte if
-// not.
-func isFullyRead(body io.Reader) bool {
-	if body == nil {
-		return true
-	}
-	var buf [1]byte
-	n, err := io.ReadFull(body, buf[:])
-	return n == 0 && err == io.EOF
-}
-
 // ReadBody reads the complete body; it returns nil if there is none. It returns
 // ErrTooLarge if the body exceeds limit bytes.
 func ReadBody(resp *fasthttp.Response, limit int64) ([]byte, error) {
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -17,8 +17,6 @@
 	// maxResponseBytes bounds the body of a response that is buffered before it is
 	// forwarded.
 	maxResponseBytes = 8 << 20
-	// maxDiscardBytes bounds how much of a refusal's body is read and discarded.
-	maxDiscardBytes = 4 << 10
 	// maxRefusals bounds the retries of an exchange after attempts that no endpoint
 	// ran. MaxAttempts of the route bounds the others.
 	maxRefusals = 3
@@ -223,8 +221,6 @@
 
 // refusalError returns the reason why an endpoint did not run the request.
 func refusalError(response *port.EndpointResponse) error {
-	// A short body is read to its end so that the connection can be reused.
-	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
 	switch {
 	case response.Misdirected:
 		return verdict.Wrap(errAddressReused, verdict.CodeEndpointFailed, verdict.NotRun, "endpoint did not take the request")
