Bound the time in which a response's header arrives

A header that trickles, 20 fields a second, was read until the caller's deadline (3.03 s) if the request may run once and so has no timeout of its own. A header now has 2 s from its first byte on: 2.03 s, 502. The wait for the first byte stays as long as the request's time. TestEndlessResponsesCostLittle still fails for other reasons.

--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -22,11 +23,18 @@
 )
 
 // readHeader reads the header of the final response into resp and skips interim
-// responses.
-func readHeader(r *bufio.Reader, resp *fasthttp.Response) error {
+// responses. Each header must arrive within headerTimeout once it has begun.
+func (c *conn) readHeader(resp *fasthttp.Response) error {
 	for range maxHeadersPerResponse {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
 		resp.Header.SetNoDefaultContentType(true)
-		if err := resp.Header.Read(r); err != nil {
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
 			return err
 		}
 		if status := resp.StatusCode(); status < 100 || status > 199 {
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -34,6 +34,8 @@
 	// readBufferBytes is the size of a connection's read buffer. It also limits the size
 	// of a response header.
 	readBufferBytes = 8 << 10
+	// headerTimeout bounds the time from the first byte of a response's header to its end.
+	headerTimeout = 2 * time.Second
 	// maxDiscardedBytes and discardTimeout bound what is read of a body that nobody needs
 	// so that the connection can be reused.
 	maxDiscardedBytes = 64 << 10
@@ -170,7 +172,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	for range maxResponsesPerCall {
 		resp.Reset()
-		if err := readHeader(c.reader, resp); err != nil {
+		if err := c.readHeader(resp); err != nil {
 			return false, err
 		}
 		attachBody(c.reader, resp, call.NoBody)
