Leave streams that make no progress for another endpoint

Events that were dropped as repeated, or that were empty, restarted the timer that finds stalled streams, so that such a stream lasted until the caller's deadline: 3.00 s, cut off.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -63,3 +63,13 @@
 	r.exchange.PieceCounts = []int{2} // 3 MB
 	is.Equal(r.criteria("kranj").Zone, "kranj")
 }
+
+// TestEmptyEventsAreNoProgress guards against streams that go nowhere and are never left
+// for another endpoint.
+func TestEmptyEventsAreNoProgress(t *testing.T) {
+	is := is.New(t)
+	is.True(!hasFields([]byte("\n\n\n\n")))
+	is.True(!hasFields([]byte(": comment\n\n")))
+	is.True(hasFields([]byte("\n\ndata: a\n\n")))
+	is.True(hasFields([]byte("weights: 7\nid: 3\n\n")))
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -17,7 +17,10 @@
 	streamReadBytes = 8 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
-	// stallGaps is the time without an event after which the attempt at a resumable
+	// maxIdleBytes bounds the events in a row that are no progress: repeated or empty
+	// ones.
+	maxIdleBytes = 256 << 10
+	// stallGaps is the time without progress after which the attempt at a resumable
 	// stream is cancelled and another endpoint resumes the stream, in multiples of
 	// the route's target event gap.
 	stallGaps = 3
@@ -50,17 +53,24 @@
 	stall := r.stallTimer(cancel)
 	defer stall.Stop()
 	var pending []byte
+	idleBytes := 0 // received since the last event that was progress
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		lastEnd := bytes.LastIndex(pending, eventEnd)
 		if lastEnd >= 0 {
-			stall.Reset(r.stallTimeout())
 			events := pending[:lastEnd+len(eventEnd)]
-			if err := r.forwardEvents(ctx, response, events, startedAt); err != nil {
+			progressed, err := r.forwardEvents(ctx, response, events, startedAt)
+			if err != nil {
 				return err
 			}
+			if progressed {
+				stall.Reset(r.stallTimeout())
+				idleBytes = 0
+			} else if idleBytes += len(events); idleBytes > maxIdleBytes {
+				return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "stream makes no progress")
+			}
 			pending = append(pending[:0], pending[len(events):]...)
 		}
 		switch {
@@ -79,7 +89,7 @@
 var eventEnd = []byte("\n\n")
 
 // stallTimer returns a running timer that cancels the attempt after the stall
-// timeout if the route's streams can be resumed.
+// timeout without progress if the route's streams can be resumed.
 func (r *exchangeRun) stallTimer(cancel context.CancelFunc) *time.Timer {
 	return time.AfterFunc(r.stallTimeout(), func() {
 		if r.route.Resumable {
@@ -93,9 +103,10 @@
 }
 
 // forwardEvents sends complete events to the caller, except those that the caller
-// already has. At the first event of the exchange, it frees the stage results,
+// already has, and reports whether there was progress: an event with a field that the
+// caller did not have. At the first event of the exchange, it frees the stage results,
 // which the endpoint has fetched by then, and fixes the stream's origin.
-func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time) error {
+func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time) (progressed bool, err error) {
 	if r.record.timeToFirstEvent == 0 {
 		r.record.timeToFirstEvent = r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
 		r.recordTimeToFirstEvent(r.cfg.Clock.Now().Sub(startedAt))
@@ -106,19 +117,30 @@
 		r.stream.started = true
 		r.record.status = response.Status
 		if err := r.responder.WriteHeader(response.Status, response.Header, -1); err != nil {
-			return callerGoneError(err)
+			return false, callerGoneError(err)
 		}
 	} else if r.record.resumes < r.attempts-1 {
 		r.record.resumes = r.attempts - 1
 	}
 	unsent := r.takeUnsentEvents(events)
 	if len(unsent) == 0 {
-		return nil
+		return false, nil
 	}
 	if err := r.responder.Write(unsent); err != nil {
-		return callerGoneError(err)
+		return false, callerGoneError(err)
+	}
+	return hasFields(unsent), nil
+}
+
+// hasFields reports whether any of the events has a field: lines that begin with a colon
+// are comments.
+func hasFields(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
 	}
-	return nil
+	return false
 }
 
 // takeUnsentEvents returns the events that have not been sent to the caller yet and
