Bound the bodies of responses that are held in memory together

Each response was held up to 8 MiB before it was forwarded, with no bound on all: 40 signed bodies without end took 184 MB for repeatable requests and up to 247 MB for others, of a host's 284 MB. All bodies, and events, that are held now share an eighth of the host's memory beyond the first 64 KiB of each. How much is held of a body without a length follows from the largest response of its route. What can't be held goes to another endpoint, or is forwarded as it arrives if no attempt is left, and cut off at a limit.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -37,6 +37,9 @@
 	// this host after it becomes unready: two failed readiness checks and the time in which a
 	// caller connects.
 	readinessPropagationTime = 2500 * time.Millisecond
+	// heldMemoryDivisor bounds the bodies of responses held at once to 1/8 of the host's
+	// memory.
+	heldMemoryDivisor = 8
 	// firstStartSpread bounds the time within which all hosts start when the whole
 	// system starts for the first time, with the differences of their clocks.
 	firstStartSpread = 10 * time.Second
@@ -144,7 +147,7 @@
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
 		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
-		RateLimits: n.rateLimits, Origins: n.origins, Regions: s.Regions, Metrics: n.metrics.Scope})
+		MaxHeldBytes: s.MemoryBytes / heldMemoryDivisor, RateLimits: n.rateLimits, Origins: n.origins, Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.callerServer, err = p.Listen(n.server); err != nil {
 		cancel()
 		return nil, err
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,9 +13,6 @@
 )
 
 const (
-	// maxResponseBytes bounds the body of a response that is buffered before it is
-	// forwarded.
-	maxResponseBytes = 8 << 20
 	// maxRefusals bounds the retries of an exchange after attempts that no endpoint
 	// ran. MaxAttempts of the route bounds the others.
 	maxRefusals = 3
@@ -31,13 +27,6 @@
 	leastUrgentPriority = 9
 )
 
-// bufferedResponse is an endpoint's complete response held in memory.
-type bufferedResponse struct {
-	status int
-	header []port.HeaderField
-	body   []byte
-}
-
 // forwardWithRetries sends the exchange to one endpoint after the other until a
 // response is forwarded to the caller or no retry is allowed. It returns nil once
 // a response is forwarded, which may be an endpoint's error response; otherwise
@@ -78,10 +67,10 @@
 }
 
 // abandon ends the exchange without further attempts. It forwards r.fallback if
-// that is set and no stream has started. Otherwise it returns defaultErr, or
+// that is set and no response has started. Otherwise it returns defaultErr, or
 // lastErr if defaultErr is nil.
 func (r *exchangeRun) abandon(lastErr, defaultErr error) error {
-	if r.fallback != nil && !r.stream.started {
+	if r.fallback != nil && !r.stream.started && !r.responseStarted {
 		return r.writeResponse(r.fallback)
 	}
 	if defaultErr != nil {
@@ -207,16 +196,21 @@
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
 		return r.forwardStream(ctx, response, cancel, startedAt)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	buffered := &bufferedResponse{status: response.Status, header: response.Header}
+	complete, err := r.holdBody(buffered, response.Body, response.Length)
+	mayRetry := r.route.Repeatable() && r.executedAttempts+1 < r.route.MaxAttempts
+	switch {
+	case err != nil:
 		return verdict.Wrap(err, verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer broke off")
-	}
-	complete := &bufferedResponse{response.Status, response.Header, body}
-	if response.Status >= statusServerError && r.route.Repeatable() {
-		r.fallback = complete
+	case !complete && (mayRetry || response.Length > maxResponseBytes):
+		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is too large")
+	case !complete:
+		return r.forwardRest(buffered, response.Body, response.Length)
+	case response.Status >= statusServerError && r.route.Repeatable():
+		r.fallback = buffered
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint failed")
 	}
-	return r.writeResponse(complete)
+	return r.writeResponse(buffered)
 }
 
 // refusalError returns the reason why an endpoint did not run the request.
@@ -250,11 +244,13 @@
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "stream can't go on")
 	}
 	r.record.status = b.status
-	if err := r.responder.WriteHeader(b.status, b.header, int64(len(b.body))); err != nil {
+	if err := r.responder.WriteHeader(b.status, b.header, b.size); err != nil {
 		return callerGoneError(err)
 	}
-	if err := r.responder.Write(b.body); err != nil {
-		return callerGoneError(err)
+	for _, chunk := range b.chunks {
+		if err := r.responder.Write(chunk); err != nil {
+			return callerGoneError(err)
+		}
 	}
 	if err := r.responder.Finish(); err != nil {
 		return callerGoneError(err)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -59,6 +59,9 @@
 	// Regions maps each zone to its region.
 	Regions map[string]string
 	Clock   port.Clock
+	// MaxHeldBytes bounds the bodies of responses that are held in memory for all
+	// exchanges together; 0 selects a default.
+	MaxHeldBytes int64
 	// Rand need not be safe for concurrent use; only the Server may use it.
 	Rand *rand.Rand
 	Log  *slog.Logger
@@ -70,6 +73,8 @@
 type Server struct {
 	cfg Config
 
+	bodies *bodyBudget
+
 	mu   sync.Mutex
 	rand *rand.Rand
 	// firstEventTimes holds the moving average of the time from the start of an
@@ -81,7 +86,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration)}
+	return &Server{cfg: cfg, bodies: newBodyBudget(cfg.MaxHeldBytes), rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration)}
 }
 
 // Limits returns the current limits on callers' requests.
@@ -144,7 +149,12 @@
 	// fallback is the newest server error (status 500 or above) of an endpoint; nil
 	// if there is none. It is forwarded if the exchange is abandoned.
 	fallback *bufferedResponse
-	stream   streamState
+	// heldBytes is what the exchange has taken of the budget for bodies.
+	heldBytes int64
+	// responseStarted is set once the header of a response that is no stream is sent
+	// before its body is complete.
+	responseStarted bool
+	stream          streamState
 	// origin is where the stream began: it may go on only there. It is nil before the
 	// first event of a stream that the caller doesn't take up, and for other exchanges.
 	origin *origin.Origin
@@ -164,6 +174,7 @@
 		err = r.serve(ctx)
 	}
 	r.complete(ctx, err)
+	r.bodies.release(r.heldBytes)
 }
 
 // admit sets the route, customer, priority, service and deadline. It returns a
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -53,7 +53,8 @@
 	stall := r.stallTimer(cancel)
 	defer stall.Stop()
 	var pending []byte
-	idleBytes := 0 // received since the last event that was progress
+	countedBytes := uncountedBytes // of pending that count towards the budget, or need not
+	idleBytes := 0                 // received since the last event that was progress
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -79,8 +80,10 @@
 				return callerGoneError(err)
 			}
 			return nil
-		case err != nil, len(pending) > maxEventBytes:
+		case err != nil, len(pending) > maxEventBytes, len(pending) > countedBytes && !r.takeBytes(chunkBytes):
 			return verdict.Wrap(err, verdict.CodeEndpointFailed, verdict.MayHaveRun, "stream broke off")
+		case len(pending) > countedBytes:
+			countedBytes += chunkBytes
 		}
 	}
 }
