Let a successor wait for the permits that a stopping lease holder has issued

A cold endpoint could get more attempts than its limit: a lease holder that stopped removed its marker while its permits were in use, since it dropped the lease, which clears the permits, before it counted them. Its successor issued permits at once.

The issuer now ends the lease and tells for how long permits may be in use in one step. A stopping holder issues no more, takes back permits for a second, and writes what is left into the marker, so that the next one waits that long instead of 40 s and replaces the marker before it issues any.

--- a/internal/app/permits.go
+++ b/internal/app/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"time"
 
@@ -29,6 +30,10 @@
 	leasePollInterval = 200 * time.Millisecond
 	// markerTimeout bounds a write or a delete of the marker.
 	markerTimeout = 2 * time.Second
+	// permitReturnTime bounds how long a stopping lease holder takes back permits in use,
+	// and permitReturnPoll is the time between two checks whether it has all.
+	permitReturnTime = time.Second
+	permitReturnPoll = 20 * time.Millisecond
 	// standaloneFence is the fencing token of a standalone host.
 	standaloneFence = 1
 )
@@ -46,12 +51,28 @@
 	// shares the endpoints with no other host.
 	standalone bool
 	// fence is the fencing token of the lease that the issuer has, 0 if none.
-	// noEarlierPermits says that no permit of an earlier lease can be in use.
+	// earlierPermits says what is known of the permits of earlier leases.
 	// markerRevision is the store revision of the marker. Only run's goroutine
 	// uses these fields.
-	fence            uint64
-	noEarlierPermits bool
-	markerRevision   uint64
+	fence          uint64
+	earlierPermits earlierPermits
+	markerRevision uint64
+}
+
+// earlierPermits is what a lease holder learns from the marker of the one before it.
+type earlierPermits struct {
+	// none means that none can be in use.
+	none bool
+	// until is the time from which none can be in use; zero if unknown.
+	until time.Time
+}
+
+// marker is the value of the zone's marker in the store.
+type marker struct {
+	Host string `json:"host"`
+	// InUseMs is for how long, from when the marker was written, permits may be in use
+	// after the host has stopped issuing them; 0 while it issues them.
+	InUseMs int64 `json:"in_use_ms,omitempty"`
 }
 
 // newPermitService registers handlers with the peers and the gossip, so it must be
@@ -166,42 +187,67 @@
 		return
 	}
 	if current.Fence != p.fence {
-		noEarlierPermits, err := p.writeMarker(ctx)
+		earlier, err := p.writeMarker(ctx)
 		if err != nil {
 			p.app.deps.Log.Warn("marker of permits in use not written", slog.Any("error", err))
 			return
 		}
 		p.fence = current.Fence
-		p.noEarlierPermits = noEarlierPermits
+		p.earlierPermits = earlier
 	}
-	next.NoEarlierPermits = p.noEarlierPermits
+	next.NoEarlierPermits, next.EarlierPermitsUntil = p.earlierPermits.none, p.earlierPermits.until
 	p.issuer.SetLease(next)
 }
 
-// writeMarker creates the marker in the store. It reports whether the marker did
-// not exist before, so that no earlier permit can be in use.
-func (p *permitService) writeMarker(ctx context.Context) (noEarlierPermits bool, err error) {
+// writeMarker writes the marker of a host that issues permits, and returns what the one
+// before it says.
+func (p *permitService) writeMarker(ctx context.Context) (earlierPermits, error) {
 	ctx, cancel := context.WithTimeout(ctx, markerTimeout)
 	defer cancel()
-	key := markerPrefix + p.app.cfg.AvailabilityZone
-	entry, err := p.app.deps.ControlStore.CompareAndSwap(ctx, key, 0, []byte(p.app.cfg.Host), 0)
+	entry, err := p.putMarker(ctx, 0, marker{Host: p.app.cfg.Host})
+	if !errors.Is(err, port.ErrConflict) {
+		p.markerRevision = entry.Revision
+		return earlierPermits{none: err == nil}, err
+	}
+	readAt := p.app.deps.Clock.Now()
+	var earlier earlierPermits
+	var before marker
+	// Older builds write the host's name alone.
+	if json.Unmarshal(entry.Value, &before) == nil && before.InUseMs > 0 {
+		earlier.until = readAt.Add(time.Duration(before.InUseMs) * time.Millisecond)
+	}
+	entry, err = p.putMarker(ctx, entry.Revision, marker{Host: p.app.cfg.Host})
 	p.markerRevision = entry.Revision
-	if errors.Is(err, port.ErrConflict) {
-		return false, nil
+	return earlier, err
+}
+
+// putMarker writes the marker if its revision is prev.
+func (p *permitService) putMarker(ctx context.Context, prev uint64, m marker) (port.Entry, error) {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return port.Entry{}, err
 	}
-	return err == nil, err
+	return p.app.deps.ControlStore.CompareAndSwap(ctx, markerPrefix+p.app.cfg.AvailabilityZone, prev, value, 0)
 }
 
-// clearMarker stops issuing permits and, if this host holds the lease and none of
-// its permits can be in use any more, deletes the marker.
+// clearMarker stops issuing permits. If this host holds the lease, it deletes the
+// marker, or has it say for how long its permits may still be in use.
 func (p *permitService) clearMarker() {
-	p.issuer.SetLease(coldstart.Lease{})
-	if p.fence == 0 || p.issuer.OutstandingPermits(p.app.deps.Clock.Now()) > 0 {
+	p.issuer.StopIssuing()
+	for end := time.Now().Add(permitReturnTime); p.fence != 0 && p.issuer.InUseFor(p.app.deps.Clock.Now()) > 0 && time.Now().Before(end); {
+		time.Sleep(permitReturnPoll)
+	}
+	inUseFor := p.issuer.EndLease(p.app.deps.Clock.Now())
+	if p.fence == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), markerTimeout)
 	defer cancel()
-	// A marker that is not removed only makes the next lease holder wait.
+	// A marker that stays as it was only makes the next lease holder wait.
+	if inUseFor > 0 {
+		_, _ = p.putMarker(ctx, p.markerRevision, marker{Host: p.app.cfg.Host, InUseMs: inUseFor.Milliseconds() + 1})
+		return
+	}
 	_ = p.app.deps.ControlStore.Delete(ctx, markerPrefix+p.app.cfg.AvailabilityZone, p.markerRevision)
 }
 
--- a/internal/core/coldstart/issuer.go
+++ b/internal/core/coldstart/issuer.go
@@ -27,6 +27,22 @@
 	Until time.Time
 	// NoEarlierPermits says that no permit of an earlier holder can be in use.
 	NoEarlierPermits bool
+	// EarlierPermitsUntil is the time from which no permit of an earlier holder can be
+	// in use, if that holder has said so; zero otherwise.
+	EarlierPermitsUntil time.Time
+}
+
+// takeoverUntil returns the time until which no permits are issued because those of an
+// earlier holder may be in use.
+func (l Lease) takeoverUntil() time.Time {
+	switch {
+	case l.NoEarlierPermits:
+		return time.Time{}
+	case !l.EarlierPermitsUntil.IsZero():
+		return l.EarlierPermitsUntil
+	default:
+		return l.Since.Add(TakeoverDelay)
+	}
 }
 
 // PermitIssuer issues the permits of one availability zone while this host holds
@@ -40,6 +56,9 @@
 
 	mu           sync.Mutex
 	lease        Lease
+	// stopping is set while the holder issues no more permits but takes back those in
+	// use.
+	stopping     bool
 	lastPermitID uint64
 	endpoints    map[string]*issuerState
 }
@@ -73,8 +92,8 @@
 
 // SetLease sets the lease as it is now. A change of the fencing token drops the
 // state of all endpoints, outstanding permits included; Grant then issues no
-// permits until TakeoverDelay after the lease's Since, unless NoEarlierPermits is
-// set.
+// permits while those of an earlier holder may be in use: until TakeoverDelay after the
+// lease's Since, unless the lease says otherwise.
 func (iss *PermitIssuer) SetLease(l Lease) {
 	iss.mu.Lock()
 	defer iss.mu.Unlock()
@@ -93,7 +112,7 @@
 	if l.Fence == 0 || !now.Before(l.Until) {
 		return PermitReply{}, ErrNotLeaseHolder
 	}
-	if !l.NoEarlierPermits && now.Before(l.Since.Add(TakeoverDelay)) {
+	if now.Before(l.takeoverUntil()) {
 		return iss.grantDuringTakeover(e.ID, req)
 	}
 	s := iss.stateOf(e.ID)
@@ -240,6 +259,9 @@
 	}
 	r.Lifetime = min(req.Lifetime, MaxPermitLifetime)
 	free := e.ColdLimit - len(s.outstanding)
+	if iss.stopping {
+		free = 0
+	}
 	for range min(req.Count, free) {
 		iss.lastPermitID++
 		s.outstanding[iss.lastPermitID] = issuedPermit{epoch: s.epoch, inUseUntil: now.Add(r.Lifetime + CancelGrace)}
@@ -251,15 +273,38 @@
 	return r
 }
 
-// OutstandingPermits returns the number of permits, of all endpoints, that may be in
-// use.
-func (iss *PermitIssuer) OutstandingPermits(now time.Time) int {
+// StopIssuing makes the issuer issue no more permits under its lease. It still accepts
+// returns.
+func (iss *PermitIssuer) StopIssuing() {
 	iss.mu.Lock()
 	defer iss.mu.Unlock()
-	n := 0
+	iss.stopping = true
+}
+
+// InUseFor returns for how long permits may still be in use, 0 if none are.
+func (iss *PermitIssuer) InUseFor(now time.Time) time.Duration {
+	iss.mu.Lock()
+	defer iss.mu.Unlock()
+	return iss.inUseFor(now)
+}
+
+// inUseFor is InUseFor for a caller that holds mu.
+func (iss *PermitIssuer) inUseFor(now time.Time) time.Duration {
+	longest := time.Duration(0)
 	for _, s := range iss.endpoints {
-		s.removeExpired(now)
-		n += len(s.outstanding)
+		for _, p := range s.outstanding {
+			longest = max(longest, p.inUseUntil.Sub(now))
+		}
 	}
-	return n
+	return longest
+}
+
+// EndLease ends the lease, so that no more permits are issued, and returns InUseFor.
+func (iss *PermitIssuer) EndLease(now time.Time) time.Duration {
+	iss.mu.Lock()
+	defer iss.mu.Unlock()
+	longest := iss.inUseFor(now)
+	clear(iss.endpoints)
+	iss.lease, iss.stopping = Lease{}, false
+	return longest
 }
