--- a/internal/core/coldstart/issuer.go
+++ b/internal/core/coldstart/issuer.go
@@ -54,8 +54,8 @@
 	// so it must not block.
 	broadcastStatus func(status Status)
 
-	mu           sync.Mutex
-	lease        Lease
+	mu    sync.Mutex
+	lease Lease
 	// stopping is set while the holder issues no more permits but takes back those in
 	// use.
 	stopping     bool
