Write the marker of permits in use to its end

A host that stopped while it wrote the zone's marker did not know that it had, and left it: the next lease holder waited 40 s for permits that nobody had, and cold endpoints got nothing. The write now goes on to its end, which clearMarker waits for.

TestMarkerIsRemovedByAHostThatStopsWhileItWritesIt failed before.

--- a/internal/app/permits.go
+++ b/internal/app/permits.go
@@ -200,9 +200,10 @@
 }
 
 // writeMarker writes the marker of a host that issues permits, and returns what the one
-// before it says.
+// before it says. The end of ctx does not interrupt it: clearMarker has to know whether
+// the marker was written.
 func (p *permitService) writeMarker(ctx context.Context) (earlierPermits, error) {
-	ctx, cancel := context.WithTimeout(ctx, markerTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), markerTimeout)
 	defer cancel()
 	entry, err := p.putMarker(ctx, 0, marker{Host: p.app.cfg.Host})
 	if !errors.Is(err, port.ErrConflict) {
--- a/internal/app/permits_test.go
+++ b/internal/app/permits_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/coldstart"
+	"github.com/pimentorill/pimentorill/internal/core/order"
 	"github.com/pimentorill/pimentorill/internal/core/release"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/standin"
@@ -87,3 +89,35 @@
 	is.True(errors.Is(err, port.ErrNotFound))
 	is.True(newTestPermits(t, store, clock, "h4", 10).grantPermit(clock.now))
 }
+
+// stoppingStore ends a context as soon as a write begins.
+type stoppingStore struct {
+	port.Store
+	stop func()
+}
+
+func (s stoppingStore) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	entry, err := s.Store.CompareAndSwap(context.WithoutCancel(ctx), key, prev, value, ttl)
+	s.stop()
+	if ctx.Err() != nil { // the response is lost
+		return port.Entry{}, ctx.Err()
+	}
+	return entry, err
+}
+
+// Guards against a marker that nobody removes, for which the next lease holder waits 40 s:
+// the host stops while it writes the marker.
+func TestMarkerIsRemovedByAHostThatStopsWhileItWritesIt(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{time.Now()}
+	store := standin.NewMemStore(port.SystemClock{})
+	ctx, cancel := context.WithCancel(t.Context())
+	p := newTestPermits(t, standin.NewMemStore(port.SystemClock{}), clock, "h1", 0)
+	p.app.deps.ControlStore = stoppingStore{store, cancel}
+	p.app.deps.ZoneLease = func(now time.Time) order.Lease {
+		return order.Lease{Fence: 7, AcquiredAt: now, ValidUntil: now.Add(time.Minute)}
+	}
+	p.run(ctx)
+	_, err := store.Get(t.Context(), markerPrefix+"kranj")
+	is.True(errors.Is(err, port.ErrNotFound))
+}
