--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -64,14 +64,6 @@
 	Avoid map[string]bool
 }
 
-// ColdSendLimit limits the sends of all hosts together to a cold endpoint in
-// any coldSendWindow. It applies to services with a warm-up rate.
-type ColdSendLimit struct {
-	// Overrun multiplies the service's warm-up rate, in sends per second; Slack is
-	// a number of sends that is added to the product.
-	Overrun, Slack float64
-}
-
 // Balancer tracks the load and health of endpoints as this host observes them.
 // It is safe for concurrent use.
 type Balancer struct {
@@ -121,26 +113,6 @@
 	return &Balancer{self: self, zone: zone, hosts: ratelimit.NewDivision(self, nil, 1), hostsVersion: 1, clock: clock, rng: rng, coldSendLimit: coldSendLimit, rateLimits: rateLimits, states: make(map[catalog.Incarnation]*endpointState)}
 }
 
-// SetHosts sets the hosts among which the limits on sends to cold endpoints and on
-// connections are divided: those with the given ids and a number of others, which must
-// be positive if there are no ids.
-func (b *Balancer) SetHosts(ids []string, others int) {
-	hosts := ratelimit.NewDivision(b.self, ids, others)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hosts = hosts
-	b.hostsVersion++
-}
-
-// share returns this host's share of a limit on all hosts together at the endpoint. The
-// caller holds b.mu.
-func (b *Balancer) share(e *catalog.Endpoint, s *endpointState, total int) int {
-	if s.rankVersion != b.hostsVersion {
-		s.rank, s.rankVersion = b.hosts.Rank(e.Incarnation(), 0), b.hostsVersion
-	}
-	return b.hosts.Share(total, s.rank)
-}
-
 // UpdateEndpoint applies an endpoint's registration; service is nil if it is
 // unknown. afterFirstRead says that the registration was not part of the host's
 // first read of the store. If UpdateEndpoint sees the incarnation for the first
@@ -290,35 +262,6 @@
 	return len(b.candidates(endpoints, criteria, b.clock.Now(), true)) > 0
 }
 
-// RateLimitWait returns the time until the rate limit of one of the endpoints allows
-// this host another exchange, maxWait if none does sooner. It reports false if no rate
-// limit keeps Pick from choosing one of them.
-func (b *Balancer) RateLimitWait(endpoints []*catalog.Endpoint, criteria Criteria, maxWait time.Duration) (time.Duration, bool) {
-	shortest, limited := maxWait, false
-	for _, e := range endpoints {
-		if criteria.Avoid[e.ID] || b.rateLimits.Allows(e.Incarnation(), false) {
-			continue
-		}
-		limited = true
-		if wait, hasShare := b.rateLimits.Wait(e.Incarnation()); hasShare {
-			shortest = min(shortest, wait)
-		}
-	}
-	return shortest, limited
-}
-
-// allowsColdSend reports whether this host may send another exchange to a cold
-// endpoint, and drops the sends that have left the window. Each host has a whole
-// share of the limit, so the total holds without coordination. The caller holds b.mu.
-func (b *Balancer) allowsColdSend(e *catalog.Endpoint, s *endpointState, service *catalog.Service, now time.Time) bool {
-	if service.WarmUpRate <= 0 {
-		return true
-	}
-	limit := b.share(e, s, int(service.WarmUpRate*b.coldSendLimit.Overrun+b.coldSendLimit.Slack))
-	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) > coldSendWindow })
-	return len(s.coldSends) < limit
-}
-
 // choose returns a candidate whose rate limit is unconfirmed if there is one,
 // otherwise the one that pickByCacheKey picks if there is a cache key, otherwise the one with the lowest cost, with ties broken at random. It
 // returns nil if there are no candidates. It reorders cands. The caller holds
@@ -383,85 +326,6 @@
 	return nil
 }
 
-// Outcome is how an exchange with an endpoint ended.
-type Outcome uint8
-
-// The outcomes.
-const (
-	// Cancelled is an exchange that ended for a reason that says nothing about the
-	// endpoint's health.
-	Cancelled Outcome = iota
-	// Succeeded is a usable response.
-	Succeeded
-	// Failed is a response that reports a failure.
-	Failed
-	// NoCapacity is a refusal because the endpoint has no capacity left.
-	NoCapacity
-	// ConnectionFailed is a failed connection.
-	ConnectionFailed
-	// AddressReused is an address that now belongs to another endpoint.
-	AddressReused
-)
-
-// Done ends an exchange that Pick counted. load is nil if the endpoint reported
-// none. Done returns true after ConnectionFailed and AddressReused, and if the
-// endpoint has just become suspect.
-func (b *Balancer) Done(e *catalog.Endpoint, o Outcome, load *port.EndpointLoad) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.stateOf(e)
-	s.inFlight = max(0, s.inFlight-1)
-	return b.recordOutcome(s, o, load)
-}
-
-// recordOutcome records the outcome and the reported load, and returns what
-// Done returns. The caller holds b.mu.
-func (b *Balancer) recordOutcome(s *endpointState, o Outcome, load *port.EndpointLoad) bool {
-	now := b.clock.Now()
-	if load != nil {
-		s.reportedLoad, s.inFlightAtReport, s.reportedAt = load.Running+load.Waiting, s.inFlight, now
-	}
-	switch o {
-	case Succeeded:
-		s.backoff = 0
-		return s.recordResponse(true, now)
-	case Failed:
-		return s.recordResponse(false, now)
-	case NoCapacity:
-		s.backoffUntil = now.Add(minBackoff / 4)
-	case ConnectionFailed, AddressReused:
-		s.backoff = min(maxBackoff, max(minBackoff, 2*s.backoff))
-		s.backoffUntil = now.Add(s.backoff)
-		// The endpoint may have restarted before its registration says so.
-		if s.warmUpTime > 0 {
-			s.extendCold(now, s.backoff+s.warmUpTime)
-		}
-		return true
-	}
-	return false
-}
-
-// recordResponse records whether a response was usable, and reports whether the
-// endpoint has become suspect.
-func (s *endpointState) recordResponse(success bool, now time.Time) bool {
-	s.recentSuccesses = append(s.recentSuccesses, success)
-	if len(s.recentSuccesses) > failureWindow {
-		s.recentSuccesses = s.recentSuccesses[1:]
-	}
-	failed := 0
-	for _, o := range s.recentSuccesses {
-		if !o {
-			failed++
-		}
-	}
-	if failed < suspectThreshold {
-		return false
-	}
-	s.recentSuccesses = s.recentSuccesses[:0]
-	s.suspectUntil = now.Add(suspectDuration)
-	return true
-}
-
 // Unavailable reports whether the endpoint is currently not picked because of
 // its backoff, or only as a last resort because it is suspect.
 func (b *Balancer) Unavailable(e *catalog.Endpoint) bool {
