Record the streams of before a rollout once another version is registered

Streams that began while a route had a single version had no record. Those that were running when another one was registered, and broke off after it, could be resumed by nobody: no host could say any more at which version they began. Hosts that fail during the first seconds of a rollout would have lost all of their streams.

A host keeps such records and sends them when the route has another version. TestStreamsOfBeforeARolloutAreRecorded fails without (found while reading the change).

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -6,8 +6,9 @@
 // the caller's attempt, unless all streams of the route can only have begun at one
 // version. The record is sent when the attempt starts and is acknowledged, in most cases
 // long, before the first event, which waits for it. Whoever resumes the stream asks the
-// hosts that come first in the same order. A stream whose origin nobody knows is not
-// resumed: the origin is never guessed.
+// hosts that come first in the same order. When another version is registered, a host
+// makes up for the records of the streams that it began before. A stream whose origin
+// nobody knows is not resumed: the origin is never guessed.
 package origins
 
 import (
@@ -50,6 +51,9 @@
 	getTimeout = 250 * time.Millisecond
 	// recordMargin is how long a record is held after its stream's deadline.
 	recordMargin = 10 * time.Second
+	// maxUnsent bounds the records that a host keeps to send them once a route has another
+	// version.
+	maxUnsent = 4096
 	// maxLifetime bounds how long a record is held.
 	maxLifetime = 10 * time.Minute
 	// maxSoleAge bounds the age of the facts by which a host that can't reach the store
@@ -94,12 +98,20 @@
 	// history is nil until the first snapshot with a configuration.
 	history *origin.History
 	records *origin.Records
+	// unsent holds the records, by route, of streams that began while nobody else needed
+	// to know.
+	unsent map[string][]unsentRecord
+}
+
+type unsentRecord struct {
+	origin.Record
+	expiresAt time.Time
 }
 
 // New returns an empty Registry and registers its handlers for requests of other
 // hosts.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, records: origin.NewRecords()}
+	r := &Registry{cfg: cfg, records: origin.NewRecords(), unsent: make(map[string][]unsentRecord)}
 	cfg.Peers.Handle(kindPut, r.handlePut)
 	cfg.Peers.Handle(kindGet, r.handleGet)
 	return r
@@ -126,7 +138,8 @@
 	Sole      origin.Origin `cbor:"4,keyasint,omitempty"`
 }
 
-// Observe adds what a snapshot says to the history.
+// Observe adds what a snapshot says to the history. It sends the records of a route that
+// now has another version.
 func (r *Registry) Observe(s *facts.Snapshot) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,6 +151,21 @@
 		r.history = origin.NewHistory(now, r.cfg.StartedFirst(s))
 	}
 	r.history.Observe(now, s.Config, s.Usable)
+	for route, records := range r.unsent {
+		records = slices.DeleteFunc(records, func(u unsentRecord) bool { return now.After(u.expiresAt) })
+		r.unsent[route] = records
+		if _, sole := r.history.Sole(route, now); !sole || len(records) == 0 {
+			delete(r.unsent, route)
+			go r.sendAll(records, now)
+		}
+	}
+}
+
+// sendAll sends records to the hosts that hold them.
+func (r *Registry) sendAll(records []unsentRecord, now time.Time) {
+	for _, u := range records {
+		r.replicate(u.Record, u.expiresAt.Sub(now), 1)
+	}
 }
 
 // sole returns the origin of all streams of a route that may still go on, if there is
@@ -169,33 +197,51 @@
 	held chan struct{}
 }
 
-// Announce records the origin of the stream that an attempt may begin, unless that is
-// not needed; then it returns nil. sequence orders the announcements of one attempt, and
-// remaining is the time until the stream's deadline.
+// Announce records the origin of the stream that an attempt may begin, with other hosts
+// unless they need not know; then it returns nil. sequence orders the announcements of
+// one attempt, and remaining is the time until the stream's deadline.
 func (r *Registry) Announce(route, attempt string, sequence int, o origin.Origin, remaining time.Duration) *Announcement {
+	record := origin.Record{Attempt: attempt, Origin: o, Sequence: sequence}
+	lifetime := remaining + recordMargin
+	r.put(record, lifetime)
 	if sole, ok := r.freshSole(route); ok && sole.Service == o.Service && sole.SoftwareVersion == o.SoftwareVersion {
+		r.keepUnsent(route, record, lifetime)
 		return nil
 	}
-	a := &Announcement{registry: r, record: origin.Record{Attempt: attempt, Origin: o, Sequence: sequence}, held: make(chan struct{})}
-	lifetime := remaining + recordMargin
-	r.put(a.record, lifetime)
-	payload, err := cbor.Marshal(putRequest{a.record, lifetime})
+	r.count("origins_recorded_total")
+	if sequence > 1 {
+		// Each of the hosts may hold the origin of an attempt that brought no event.
+		return r.replicate(record, lifetime, replicas)
+	}
+	return r.replicate(record, lifetime, 1)
+}
+
+// keepUnsent keeps a record until the route has another version, or its stream has ended.
+func (r *Registry) keepUnsent(route string, record origin.Record, lifetime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unsent[route]) < maxUnsent {
+		r.unsent[route] = append(r.unsent[route], unsentRecord{record, r.cfg.Clock.Now().Add(lifetime)})
+	}
+}
+
+// replicate sends a record to the hosts that hold it. Announcement.Wait waits until the
+// given number of them have it.
+func (r *Registry) replicate(record origin.Record, lifetime time.Duration, needed int) *Announcement {
+	a := &Announcement{registry: r, record: record, held: make(chan struct{})}
+	payload, err := cbor.Marshal(putRequest{record, lifetime})
 	if err != nil {
 		r.cfg.Log.Error("origin of a stream can't be encoded", slog.Any("error", err))
 		return a
 	}
-	hosts := membership.SelectByRendezvous(r.holders(), attempt, replicas)
+	hosts := membership.SelectByRendezvous(r.holders(), record.Attempt, replicas)
 	if len(hosts) == 0 {
 		close(a.held) // nobody to wait for
 		r.count("origins_not_replicated_total")
 		return a
 	}
 	var missing atomic.Int64
-	missing.Store(1)
-	if sequence > 1 {
-		// Each of the hosts may hold the origin of an attempt that brought no event.
-		missing.Store(int64(len(hosts)))
-	}
+	missing.Store(int64(min(needed, len(hosts))))
 	for _, host := range hosts {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
@@ -205,7 +251,6 @@
 			}
 		}()
 	}
-	r.count("origins_recorded_total")
 	return a
 }
 
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -51,7 +51,9 @@
 		f.start()
 		is.True(f.hosts["edge-0"].begin("s1", "e1"))
 		is.True(f.hosts["edge-0"].begin("s2", "e2"))
+		f.mu.Lock()
 		f.hosts["edge-0"].down = true
+		f.mu.Unlock()
 		time.Sleep(time.Second)
 		for id, h := range f.hosts {
 			if id != "edge-0" {
@@ -62,6 +64,33 @@
 	})
 }
 
+// TestStreamsOfBeforeARolloutAreRecorded guards against refusing the streams that began
+// without a record, shortly before another version was registered.
+func TestStreamsOfBeforeARolloutAreRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 8)
+		f.versions["e1"] = "v1"
+		f.start()
+		is.True(f.hosts["edge-0"].begin("s1", "e1"))
+		is.Equal(f.asks, 0)
+		f.versions["e2"] = "v2"
+		for _, h := range f.hosts {
+			h.followStore()
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		f.hosts["edge-0"].down = true
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		for id, h := range f.hosts {
+			if id != "edge-0" {
+				is.Equal(h.find("s1"), "v1")
+			}
+		}
+	})
+}
+
 // TestUnknownOriginIsNotGuessed guards against hosts that resume a stream though they can't
 // know where it began.
 func TestUnknownOriginIsNotGuessed(t *testing.T) {
