Read the release once after a failed call to the store

A host that watches the store learned that it responds again only from the next change, up to 30 s later, and counted as stale in a partition all the while. In a run of all tests TestReleaseComesInForceEverywhere failed once for it: the release came by gossip before the host's own watch had returned (fleet_test.go:163, 'it still receives changes from the store').

After a failed call the next one is a read.

--- a/internal/app/fleet_test.go
+++ b/internal/app/fleet_test.go
@@ -146,6 +146,11 @@
 	is.Equal(lateHost.App().Snapshot().Release.Version, version) // received from the other hosts
 	bed.Store.SetOutage(false)
 	network.setAddresses(bed)
+	// A host whose last call failed counts as stale in a partition until its next one.
+	testbed.Until(t, "the store responds to a host of the zone again", func() bool {
+		s := bed.Hosts[1].App().Snapshot()
+		return !s.StoreFailedAt.After(s.StoreRespondedAt)
+	})
 
 	// One zone is partitioned from the others. Its own watchers of the store bring
 	// it the release, and its hosts report which zones they do not reach.
--- a/internal/app/follow.go
+++ b/internal/app/follow.go
@@ -41,17 +41,21 @@
 func (a *App) followRelease(ctx context.Context) {
 	var seen uint64 // revision of the last entry read
 	retry := minRetryDelay
-	first := true // nothing has been read yet, so there is no revision to watch from
+	// readFirst is set if nothing has been read yet, so that there is no revision to watch
+	// from, or the last call failed: a watch would only tell of the next change that the
+	// store responds again.
+	readFirst := true
 	for ctx.Err() == nil {
 		watching := a.watchesStore()
-		entry, err := a.pollRelease(ctx, watching && !first, seen)
+		entry, err := a.pollRelease(ctx, watching && !readFirst, seen)
 		if err != nil {
 			a.reportPollFailure(ctx, err)
+			readFirst = true
 			port.Sleep(ctx, jittered(retry))
 			retry = min(2*retry, maxRetryDelay)
 			continue
 		}
-		retry, first = minRetryDelay, false
+		retry, readFirst = minRetryDelay, false
 		if entry.Revision != seen || entry.Revision == 0 {
 			a.applyStored(entry)
 		}
