--- a/internal/origins/fleet_test.go
+++ b/internal/origins/fleet_test.go
@@ -53,6 +53,21 @@
 	return f
 }
 
+// stop stops a host and waits until the others suspect it.
+func (f *fleet) stop(id string) {
+	f.mu.Lock()
+	f.hosts[id].down = true
+	f.mu.Unlock()
+	time.Sleep(time.Second)
+}
+
+// followStore has all hosts read the store.
+func (f *fleet) followStore() {
+	for _, h := range f.hosts {
+		h.followStore()
+	}
+}
+
 // start starts all hosts for the first time.
 func (f *fleet) start() {
 	for _, h := range f.hosts {
@@ -103,9 +118,7 @@
 	return h.snapshot
 }
 
-// Self, Others, Ask and Handle implement Peers.
-func (h *fakeHost) Self() string { return h.id }
-
+// Others, Ask and Handle implement Peers.
 func (h *fakeHost) Others() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -30,9 +30,7 @@
 		is.Equal(f.asks, 0)
 		// A host that was cut off after that resumes them, and so does one that has just
 		// started.
-		for _, h := range f.hosts {
-			h.followStore()
-		}
+		f.followStore()
 		f.hosts["edge-1"].cutOff = true
 		f.hosts["edge-2"].start(false)
 		time.Sleep(time.Second)
@@ -51,10 +49,7 @@
 		f.start()
 		is.True(f.hosts["edge-0"].begin("s1", "e1"))
 		is.True(f.hosts["edge-0"].begin("s2", "e2"))
-		f.mu.Lock()
-		f.hosts["edge-0"].down = true
-		f.mu.Unlock()
-		time.Sleep(time.Second)
+		f.stop("edge-0")
 		for id, h := range f.hosts {
 			if id != "edge-0" {
 				is.Equal(h.find("s1"), "v1")
@@ -75,14 +70,9 @@
 		is.True(f.hosts["edge-0"].begin("s1", "e1"))
 		is.Equal(f.asks, 0)
 		f.versions["e2"] = "v2"
-		for _, h := range f.hosts {
-			h.followStore()
-		}
+		f.followStore()
 		time.Sleep(100 * time.Millisecond)
-		f.mu.Lock()
-		f.hosts["edge-0"].down = true
-		f.mu.Unlock()
-		time.Sleep(time.Second)
+		f.stop("edge-0")
 		for id, h := range f.hosts {
 			if id != "edge-0" {
 				is.Equal(h.find("s1"), "v1")
@@ -109,9 +99,7 @@
 		f.hosts["edge-3"].cutOff = true
 		time.Sleep(10 * time.Second)
 		f.versions["e2"] = "v2"
-		for _, h := range f.hosts {
-			h.followStore()
-		}
+		f.followStore()
 		is.True(f.hosts["edge-0"].begin("s2", "e2"))
 		is.Equal(f.hosts["edge-3"].find("s2"), "")
 		is.Equal(f.hosts["edge-1"].find("s2"), "v2")
