Don't guess a stream's version while another host knows of several

A host that had not learned of a new version took the former one for that of a stream whose record was lost, although hosts that it asked knew better. TestHostThatLearnsLateDoesNotGuess failed before (v1 instead of a refusal).

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -108,3 +108,7 @@
 	}
 	return false
 }
+
+// Several reports whether streams of a route that may go on began at several versions, as
+// far as the history reaches.
+func (h *History) Several(route string) bool { return len(h.lastSeen[route]) > 1 }
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -25,6 +25,8 @@
 	Record    origin.Record `cbor:"2,keyasint,omitempty"`
 	HasSole   bool          `cbor:"3,keyasint,omitempty"`
 	Sole      origin.Origin `cbor:"4,keyasint,omitempty"`
+	// Several means that streams of the route may have begun at several versions.
+	Several bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Find returns the origin of the stream that an attempt began; attempt is empty if the
@@ -44,6 +46,9 @@
 	}
 	// Without a record the stream began while there was a single version, or its record
 	// is lost. In the second case this host or another one knows of two versions.
+	if own.Several || answers.several {
+		return origin.Origin{}, false
+	}
 	sole, ok := own.Sole, own.HasSole
 	for _, o := range answers.soles {
 		if ok && o != sole || r.excludes(route, o) {
@@ -77,7 +82,10 @@
 	// missed a record may hold an older one of the attempt.
 	record *origin.Record
 	// soles holds the origins that hosts tell to be those of all streams of the route.
-	soles     []origin.Origin
+	soles []origin.Origin
+	// several means that a host knows of several versions: this one may not have learned
+	// of the newest yet.
+	several   bool
 	responses int
 }
 
@@ -102,6 +110,7 @@
 			continue
 		}
 		out.responses++
+		out.several = out.several || response.Several
 		if response.HasSole {
 			out.soles = append(out.soles, response.Sole)
 		}
@@ -133,6 +142,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response.Record, response.HasRecord = r.records.Get(request.Attempt, r.cfg.Clock.Now())
+	response.Several = r.history != nil && r.history.Several(request.Route)
 	return response
 }
 
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -106,6 +106,25 @@
 	})
 }
 
+// TestHostThatLearnsLateDoesNotGuess guards against a host that has not learned of a new
+// version yet and takes the former one for that of a stream whose record is lost.
+func TestHostThatLearnsLateDoesNotGuess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 6)
+		f.versions["e1"] = "v1"
+		f.start()
+		f.versions["e2"] = "v2"
+		for id, h := range f.hosts {
+			if id != "edge-5" {
+				h.followStore()
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(f.hosts["edge-5"].find("its record is lost"), "")
+	})
+}
+
 // TestStreamIsResumedWhileTheStoreIsAway guards against refusing all streams that began
 // before the store was lost.
 func TestStreamIsResumedWhileTheStoreIsAway(t *testing.T) {
