--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -107,10 +107,12 @@
 // balancer, the health monitor and the crash tracker. It returns nil once the
 // whole response is forwarded to the caller; the error is a *verdict.Error.
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
-	ctx, cancel := r.attemptContext(parent, e)
-	defer cancel()
+	reachable, release := r.attemptContext(parent, e)
+	defer release()
+	ctx, cancel := context.WithCancelCause(reachable)
+	defer cancel(nil)
 	if timeout, ok := r.attemptTimeout(); ok {
-		timer := time.AfterFunc(timeout, cancel)
+		timer := time.AfterFunc(timeout, func() { cancel(errTooSlow) })
 		defer timer.Stop()
 	}
 	r.attempts++
@@ -129,6 +131,10 @@
 	if err != nil && verdict.Of(err) != verdict.NotRun {
 		r.executedAttempts++
 	}
+	r.record.cancelCause = nil
+	if parent.Err() == nil {
+		r.record.cancelCause = context.Cause(ctx)
+	}
 	outcome := r.classifyOutcome(parent, err)
 	if outcome == balance.ConnectionFailed {
 		r.cfg.Health.RecordFailure(e)
@@ -187,7 +193,7 @@
 // if the whole response was forwarded to the caller. It stores a server error of
 // a repeatable request in r.fallback instead and returns an error. startedAt is
 // when the attempt started, and cancel ends the attempt.
-func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
+func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, cancel context.CancelCauseFunc, startedAt time.Time) error {
 	switch {
 	case response.NotRun:
 		return refusalError(response)
@@ -225,6 +231,12 @@
 	}
 }
 
+// Causes for which this host cancels an attempt, besides those of the health monitor.
+var (
+	errTooSlow = errors.New("no answer within the attempt's time")
+	errStalled = errors.New("stream makes no progress")
+)
+
 // errAddressReused means that another endpoint now has the address of the one
 // that the exchange was sent to.
 var errAddressReused = errors.New("another endpoint has the address")
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -24,6 +24,8 @@
 	// status is the HTTP status of the endpoint's response that is forwarded; 0 if
 	// none is.
 	status int
+	// cancelCause is why this host cancelled the last attempt; nil if it did not.
+	cancelCause error
 	// stagesTime is the time spent on executing stages, including reruns, and
 	// stageQueueWait the sum of the queue waits in it.
 	stagesTime     time.Duration
@@ -41,10 +43,14 @@
 
 // logFailedAttempt logs a failed attempt and counts it in the metrics.
 func (r *exchangeRun) logFailedAttempt(e *catalog.Endpoint, err error, willRetry bool) {
-	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", slog.String("request", r.exchange.ID), slog.String("endpoint", e.ID),
+	attrs := []slog.Attr{slog.String("request", r.exchange.ID), slog.String("endpoint", e.ID),
 		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.attempts), slog.Int("ran", r.executedAttempts),
 		slog.String("resume_from", r.stream.lastEventID), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
-		slog.Bool("left_alone", r.cfg.Balancer.Unavailable(e)), slog.Bool("repeats", willRetry))
+		slog.Bool("left_alone", r.cfg.Balancer.Unavailable(e)), slog.Bool("repeats", willRetry)}
+	if r.record.cancelCause != nil {
+		attrs = append(attrs, slog.Any("cancelled_because", r.record.cancelCause))
+	}
+	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", attrs...)
 	if r.cfg.Metrics != nil {
 		r.cfg.Metrics.Tagged(map[string]string{"repeats": strconv.FormatBool(willRetry)}).Counter("attempts_failed_total").Inc(1)
 	}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -49,7 +49,7 @@
 // forwardStream forwards events as they arrive. It forwards only complete
 // events, so that the stream can be resumed at another endpoint. A stream that
 // ends without an event or within one is an error.
-func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, cancel context.CancelFunc, startedAt time.Time) error {
+func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, cancel context.CancelCauseFunc, startedAt time.Time) error {
 	stall := r.stallTimer(cancel)
 	defer stall.Stop()
 	var pending []byte
@@ -93,10 +93,10 @@
 
 // stallTimer returns a running timer that cancels the attempt after the stall
 // timeout without progress if the route's streams can be resumed.
-func (r *exchangeRun) stallTimer(cancel context.CancelFunc) *time.Timer {
+func (r *exchangeRun) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
 	return time.AfterFunc(r.stallTimeout(), func() {
 		if r.route.Resumable {
-			cancel()
+			cancel(errStalled)
 		}
 	})
 }
