--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -50,12 +50,30 @@
 	if r.record.cancelCause != nil {
 		attrs = append(attrs, slog.Any("cancelled_because", r.record.cancelCause))
 	}
+	if shared := r.sharedPromptParts(); len(shared) > 0 && verdict.Of(err) != verdict.NotRun {
+		attrs = append(attrs, slog.Any("prompt_parts", shared))
+	}
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", attrs...)
 	if r.cfg.Metrics != nil {
 		r.cfg.Metrics.Tagged(map[string]string{"repeats": strconv.FormatBool(willRetry)}).Counter("attempts_failed_total").Inc(1)
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedPromptParts returns the ids of the prompt parts that other requests may share,
+// maxLoggedParts at most.
+func (r *exchangeRun) sharedPromptParts() []string {
+	var ids []string
+	for i, p := range r.exchange.Prompt {
+		if i+1 < len(r.exchange.Prompt) && i < maxLoggedParts {
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
+
 // logExchange logs the outcome of the exchange and records its metrics.
 func (r *exchangeRun) logExchange(err error) {
 	duration := r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
