Reproduce responses that silent endpoints cut in a failing soak

A host before six simulated endpoints in virtual time. Sound endpoints fall silent for 0.3 to 3 s, one or several at once, crossed with configurations, rollouts, small retry budgets and the host's shutdown. Each request must get its whole response or a refusal that is true; a cut is allowed only if the endpoint broke off or the deadline came.

--- /dev/null
+++ b/internal/exchange/soak_test.go
@@ -0,0 +1,411 @@
+package exchange
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/core/balance"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/quota"
+	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
+	"github.com/pimentorill/pimentorill/internal/facts"
+	"github.com/pimentorill/pimentorill/internal/health"
+	"github.com/pimentorill/pimentorill/internal/origins"
+	"github.com/pimentorill/pimentorill/internal/port"
+	"github.com/pimentorill/pimentorill/internal/stagework"
+)
+
+// soakSeeds is raised by hand for the long run.
+var soakSeeds = flag.Int("soak.seeds", 12, "seeds of TestSilentEndpointsCutNoResponse")
+
+const (
+	soakTime       = 40 * time.Second
+	soakEndpoints  = 6
+	soakEvents     = 12
+	maxSoakSilence = 3 * time.Second
+	minSoakPause   = time.Second // between two silences of an endpoint
+)
+
+// soak is a host's exchange server with simulated endpoints and callers in virtual time.
+type soak struct {
+	rng      *rand.Rand
+	server   *Server
+	monitor  *health.Monitor
+	origins  *origins.Registry
+	requests sync.WaitGroup
+
+	mu        sync.Mutex
+	config    *catalog.Config
+	snapshot  *facts.Snapshot
+	endpoints map[string]*soakEndpoint
+	// brokenOff holds the ids of the requests that an endpoint broke off or refused to
+	// run to its end.
+	brokenOff map[string]bool
+	failures  []string
+	outcomes  map[string]int
+}
+
+// soakEndpoint is an endpoint. It neither reads nor writes while it is silent.
+type soakEndpoint struct {
+	catalog.Endpoint
+	silentUntil time.Time
+	gone        bool
+}
+
+// none implements the connections to other hosts, of which there are none.
+type none struct{}
+
+func (none) Candidates() []string                             { return []string{"edge-0"} }
+func (none) Coordinators(string, []string) []string           { return []string{"edge-0"} }
+func (none) Others() []string                                 { return nil }
+func (none) Self() string                                     { return "edge-0" }
+func (none) ReachableShare([]string) float64                  { return 1 }
+func (none) ShuttingDown() bool                               { return false }
+func (none) ClaimCoordination(string)                         {}
+func (none) Handle(string, port.RequestHandler)               {}
+func (none) HandleWhileConnected(string, port.RequestHandler) {}
+func (none) Ask(context.Context, string, string, []byte) ([]byte, error) {
+	return nil, verdict.New(verdict.CodeNotReady, verdict.NotRun, "no other host")
+}
+
+// storeAway is a store that can't be reached.
+type storeAway struct{ port.WatchableStore }
+
+func (storeAway) GrantLease(context.Context, time.Duration) (port.Lease, error) {
+	return port.Lease{}, port.ErrUncertain
+}
+
+// newSoak returns a host whose retry budget is drawn with the seed.
+func newSoak(seed uint64) *soak {
+	s := &soak{rng: rand.New(rand.NewPCG(seed, 1)), endpoints: make(map[string]*soakEndpoint), brokenOff: make(map[string]bool), outcomes: make(map[string]int), snapshot: &facts.Snapshot{}}
+	for i := range soakEndpoints {
+		s.addEndpoint(fmt.Sprint("e", i), "v1")
+	}
+	log := slog.New(slog.DiscardHandler)
+	clock := port.SystemClock{}
+	limits := ratelimit.New("edge-0", 1, clock, log)
+	budget := quota.RetryLimit{Ratio: []float64{0, 0.02, 0.2}[s.rng.IntN(3)], Slack: float64(s.rng.IntN(4)), Window: 10 * time.Second}
+	s.monitor = health.New(health.Config{Client: s, UsableEndpoints: s.usable, OnChange: func() {}, Clock: clock, Log: log})
+	s.origins = origins.New(origins.Config{Peers: none{}, Snapshot: s.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log})
+	s.server = New(Config{Snapshot: s.current, Balancer: balance.New("edge-0", "kranj", clock, rand.New(rand.NewPCG(seed, 2)), balance.ColdSendLimit{}, limits),
+		RetryBudgets: quota.NewRetryBudgets(budget, clock), RateLimits: limits, Endpoints: s, Health: s.monitor, Origins: s.origins,
+		Stages:       stagework.NewDispatcher(stagework.Config{Peers: none{}, Endpoints: s, Health: s.monitor, RateLimits: limits, Clock: clock, Log: log}),
+		CrashTracker: crashing.New(none{}, storeAway{}, "", clock, log), Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
+	s.configure()
+	return s
+}
+
+// between returns a random duration from lo to hi. The caller holds s.mu, or no other
+// goroutine runs yet.
+func (s *soak) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(s.rng.Int64N(int64(hi-lo)))
+}
+
+func (s *soak) addEndpoint(id, version string) {
+	s.endpoints[id] = &soakEndpoint{Endpoint: catalog.Endpoint{ID: id, Service: "pool", Address: id, Zone: "kranj", SoftwareVersion: version, Slots: 64, StartedUnixMs: 1}}
+}
+
+// configure puts a new configuration in force, with other timeouts and limits.
+func (s *soak) configure() {
+	s.mu.Lock()
+	timeout := s.between(3*time.Second, 8*time.Second)
+	s.config = &catalog.Config{Services: map[string]*catalog.Service{"pool": {Name: "pool", MaxConnections: 100 + s.rng.IntN(300)}}}
+	for _, r := range []catalog.Route{
+		{Name: "stream", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, MaxAttempts: 1 + s.rng.IntN(3)},
+		{Name: "once", Prefix: "/once/", Kind: catalog.Stream, MaxAttempts: 1},
+		{Name: "read", Prefix: "/read/", Kind: catalog.Idempotent, MaxAttempts: 1 + s.rng.IntN(2)},
+		{Name: "book", Prefix: "/book/", Kind: catalog.AtMostOnce, MaxAttempts: 1},
+	} {
+		r.Host, r.Timeout, r.TargetLatency, r.TargetEventGap, r.Public = "api.example", timeout, 150*time.Millisecond, 400*time.Millisecond, true
+		r.TrafficSplit = []catalog.WeightedService{{Service: "pool", Weight: 1}}
+		s.config.Routes = append(s.config.Routes, &r)
+	}
+	s.config.BuildIndexes()
+	s.mu.Unlock()
+	s.publish()
+}
+
+// publish makes the configuration and the endpoints as they are the newest snapshot.
+func (s *soak) publish() {
+	s.mu.Lock()
+	snapshot := &facts.Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint), Incarnations: make(map[catalog.Incarnation]bool), ConfirmedAt: time.Now()}
+	for _, e := range s.endpoints {
+		entry := e.Endpoint
+		snapshot.Incarnations[entry.Incarnation()] = true
+		if !e.Draining && !e.gone {
+			snapshot.Usable["pool"] = append(snapshot.Usable["pool"], &entry)
+		}
+	}
+	slices.SortFunc(snapshot.Usable["pool"], func(a, b *catalog.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	s.snapshot = snapshot
+	s.mu.Unlock()
+	s.origins.Observe(snapshot)
+}
+
+func (s *soak) current() *facts.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
+func (s *soak) usable() []*catalog.Endpoint { return s.current().Usable["pool"] }
+
+// awaitEndpoint waits for d and then until the endpoint is not silent. It returns an
+// error if the endpoint is gone by then or ctx ends first.
+func (s *soak) awaitEndpoint(ctx context.Context, id string, d time.Duration) error {
+	for {
+		port.Sleep(ctx, d)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		s.mu.Lock()
+		e := s.endpoints[id]
+		silence, gone := time.Until(e.silentUntil), e.gone
+		s.mu.Unlock()
+		if gone {
+			return io.ErrUnexpectedEOF
+		}
+		if silence <= 0 {
+			return nil
+		}
+		d = min(silence, 50*time.Millisecond) // an endpoint may end while it is silent
+	}
+}
+
+// Forward implements port.EndpointClient.
+func (s *soak) Forward(ctx context.Context, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+	s.mu.Lock()
+	gone := s.endpoints[r.Endpoint.ID].gone
+	transit, refuses := s.between(time.Millisecond, 5*time.Millisecond), s.rng.IntN(40) == 0
+	s.mu.Unlock()
+	if gone {
+		return verdict.New(verdict.CodeEndpointFailed, verdict.NotRun, "endpoint not reached")
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Remaining)
+	defer cancel()
+	body := &soakBody{soak: s, ctx: ctx, endpoint: r.Endpoint.ID, request: r.Exchange.ID, next: 1}
+	if err := body.await(transit); err != nil {
+		return verdict.Wrap(err, verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint broke off")
+	}
+	if refuses {
+		return read(&port.EndpointResponse{Status: 503, NotRun: true, Body: strings.NewReader("")})
+	}
+	response := &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -1, Body: body}
+	if !strings.HasPrefix(r.Exchange.Path, "/stream/") && !strings.HasPrefix(r.Exchange.Path, "/once/") {
+		if err := body.await(30 * time.Millisecond); err != nil {
+			return verdict.Wrap(err, verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint broke off")
+		}
+		response.Body = strings.NewReader("whole")
+		return read(response)
+	}
+	last, _ := strconv.Atoi(r.ResumeFrom)
+	body.next = last + 1
+	return read(response)
+}
+
+// soakBody is the body of a stream.
+type soakBody struct {
+	*soak
+	ctx               context.Context
+	endpoint, request string
+	next              int
+}
+
+// await waits as awaitEndpoint does and records that the endpoint broke off.
+func (b *soakBody) await(d time.Duration) error {
+	err := b.awaitEndpoint(b.ctx, b.endpoint, d)
+	if err == io.ErrUnexpectedEOF {
+		b.mu.Lock()
+		b.brokenOff[b.request] = true
+		b.mu.Unlock()
+	}
+	return err
+}
+
+// Read implements io.Reader.
+func (b *soakBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	pause := b.between(20*time.Millisecond, 300*time.Millisecond)
+	b.mu.Unlock()
+	if err := b.await(pause); err != nil {
+		return 0, err
+	}
+	if b.next > soakEvents {
+		return 0, io.EOF
+	}
+	n := copy(p, fmt.Sprintf("id: %d\ndata: token\n\n", b.next))
+	b.next++
+	return n, nil
+}
+
+// Probe implements port.EndpointClient.
+func (s *soak) Probe(ctx context.Context, e *catalog.Endpoint, _ bool) (port.EndpointReport, error) {
+	return port.EndpointReport{FreeBytes: -1}, s.awaitEndpoint(ctx, e.ID, 2*time.Millisecond)
+}
+
+// RunPieces implements port.EndpointClient.
+func (s *soak) RunPieces(context.Context, *catalog.Endpoint, []port.Piece) ([]port.PieceResult, error) {
+	panic("no stages")
+}
+
+// FreeResults implements port.EndpointClient.
+func (s *soak) FreeResults(context.Context, *catalog.Endpoint, []string) error { return nil }
+
+// ObserveRateLimits implements port.EndpointClient.
+func (s *soak) ObserveRateLimits(func(*catalog.Endpoint, port.RateLimit)) {}
+
+// soakCaller implements port.Responder.
+type soakCaller struct {
+	started, finished, aborted bool
+	body                       strings.Builder
+	err                        error
+}
+
+func (c *soakCaller) WriteHeader(int, []port.HeaderField, int64) error {
+	c.started = true
+	return nil
+}
+
+func (c *soakCaller) Write(p []byte) error {
+	c.body.Write(p)
+	return nil
+}
+
+func (c *soakCaller) Finish() error {
+	c.finished = true
+	return nil
+}
+
+func (c *soakCaller) Abort()               { c.aborted = true }
+func (c *soakCaller) WriteError(err error) { c.err = err }
+
+// call sends a request and checks its response.
+func (s *soak) call(n int) {
+	s.mu.Lock()
+	path := []string{"/stream/", "/stream/", "/once/", "/read/", "/book/"}[s.rng.IntN(5)]
+	timeout := s.between(4*time.Second, 8*time.Second)
+	s.mu.Unlock()
+	c := &soakCaller{}
+	x := &port.Exchange{ID: fmt.Sprint("r", n), Method: "POST", Host: "api.example", Path: fmt.Sprint(path, n), Target: fmt.Sprint(path, n), ReceivedAt: time.Now(), CallerTimeout: timeout}
+	route := s.current().Config.MatchRoute(x.Host, path)
+	s.server.Exchange(context.Background(), x, c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var whole string
+	for i := range soakEvents {
+		whole += fmt.Sprintf("id: %d\ndata: token\n\n", i+1)
+	}
+	if path == "/read/" || path == "/book/" {
+		whole = "whole"
+	}
+	excused := s.brokenOff[x.ID] || time.Since(x.ReceivedAt) >= effectiveTimeout(route.Timeout, timeout)
+	switch {
+	case c.finished && c.body.String() == whole:
+		s.outcomes["whole"]++
+	case c.err != nil && !c.started && verdict.Of(c.err) == verdict.NotRun:
+		s.outcomes["refused"]++
+	case !c.finished && excused:
+		s.outcomes["excused"]++
+	default:
+		s.failures = append(s.failures, fmt.Sprintf("%s %s after %v: started %v, finished %v, aborted %v, error %v, body %q", x.ID, path, time.Since(x.ReceivedAt), c.started, c.finished, c.aborted, c.err, c.body.String()))
+	}
+}
+
+// disturb has endpoints fall silent, the configuration change, or endpoints replaced.
+func (s *soak) disturb(n int) {
+	s.mu.Lock()
+	ids := slices.Sorted(func(yield func(string) bool) {
+		for id, e := range s.endpoints {
+			if !e.gone && !yield(id) {
+				return
+			}
+		}
+	})
+	s.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	kind := s.rng.IntN(10)
+	for _, id := range ids[:1+s.rng.IntN(len(ids))] {
+		if e := s.endpoints[id]; kind < 7 && time.Since(e.silentUntil) > minSoakPause {
+			e.silentUntil = time.Now().Add(s.between(300*time.Millisecond, maxSoakSilence))
+		}
+		if kind < 5 {
+			break // one endpoint only
+		}
+	}
+	if kind == 8 { // a rollout of one endpoint; it serves for a while before it ends
+		old := s.endpoints[ids[0]]
+		old.Draining = true
+		s.addEndpoint(fmt.Sprint("n", n), []string{"v1", "v2"}[s.rng.IntN(2)])
+		time.AfterFunc(s.between(2*time.Second, 12*time.Second), func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			old.gone = true
+		})
+	}
+	s.mu.Unlock()
+	if kind == 8 {
+		s.publish()
+	}
+	if kind == 9 || kind < 2 { // a configuration at the moment of a silence
+		s.configure()
+	}
+}
+
+// run plays calls and disturbances, and the shutdown of the host at the end.
+func (s *soak) run() {
+	start := time.Now()
+	nextTrouble := start
+	for n := 0; time.Since(start) < soakTime; n++ {
+		if time.Now().After(nextTrouble) {
+			s.disturb(n)
+			s.mu.Lock()
+			nextTrouble = time.Now().Add(s.between(50*time.Millisecond, 1500*time.Millisecond))
+			s.mu.Unlock()
+		}
+		s.requests.Go(func() { s.call(n) })
+		s.mu.Lock()
+		pause := s.between(5*time.Millisecond, 100*time.Millisecond)
+		s.mu.Unlock()
+		time.Sleep(pause)
+	}
+	s.server.RefuseNew()
+	s.requests.Go(func() { s.call(-1) })
+	s.requests.Wait()
+	s.monitor.Close()
+}
+
+// TestSilentEndpointsCutNoResponse guards against responses that end because a sound
+// endpoint is silent for up to 3 s: with small retry budgets, configurations, rollouts and
+// the shutdown of the host.
+func TestSilentEndpointsCutNoResponse(t *testing.T) {
+	total := make(map[string]int)
+	for seed := range uint64(*soakSeeds) {
+		var s *soak
+		synctest.Test(t, func(*testing.T) {
+			s = newSoak(seed)
+			s.run()
+		})
+		for _, f := range s.failures[:min(3, len(s.failures))] {
+			t.Errorf("seed %d: %s", seed, f)
+		}
+		if len(s.failures) > 0 {
+			t.Errorf("seed %d: %d requests failed for no reason", seed, len(s.failures))
+		}
+		for o, n := range s.outcomes {
+			total[o] += n
+		}
+	}
+	t.Log("outcomes", total)
+}
