Give up a silent endpoint only once the successor of the attempt is certain

Callers lost responses, or got 502, although their endpoint was sound: it had been silent for a second. Three timers cancelled an attempt (streams without progress, endpoints that missed two probes, slow idempotent requests) and only then was asked whether another one was allowed. Where max_attempts, the retry budget, the stream's origin or the lack of an endpoint forbade it, the response ended; the first of them did not even look at max_attempts.

An attempt is now doubted and goes on. It is given up once its successor is certain: the results of the stages are there, an endpoint is picked and the retry taken. From then on refusals by other endpoints don't end the exchange before its deadline. An endpoint that stays unreachable for 4 s counts as gone if the response has not begun.

--- /dev/null
+++ b/internal/exchange/failover.go
@@ -0,0 +1,247 @@
+package exchange
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pimentorill/pimentorill/internal/core/balance"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+// A sound endpoint may fall silent for a while and go on, so silence alone never ends a
+// response. An attempt that another may follow is doubted while its endpoint is
+// unreachable, its stream makes no progress or its time is up. It is given up only once
+// its successor is certain: the results of the stages are there, an endpoint is picked and
+// the retry is taken from the budget. Until then it goes on, while a successor is looked
+// for. Once an attempt was given up, refusals by other endpoints don't end the exchange: it
+// tries on until its deadline.
+
+const (
+	// failoverInterval is the time between two searches for a successor.
+	failoverInterval = 100 * time.Millisecond
+	// maxSilence is the time from which an endpoint that stays unreachable counts as gone:
+	// an exchange whose response has not begun then ends without a successor too, so that
+	// the caller can retry.
+	maxSilence = 4 * time.Second
+)
+
+// Causes for which this host gives up an attempt.
+var (
+	errTooSlow     = errors.New("no answer within the attempt's time")
+	errStalled     = errors.New("stream makes no progress")
+	errUnreachable = errors.New("endpoint can't be reached")
+)
+
+// failover watches one attempt and looks for its successor while the attempt is doubted.
+type failover struct {
+	run      *exchangeRun
+	endpoint *catalog.Endpoint
+	// ctx is the context of the attempt; cancel gives the attempt up.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// ended is set once the attempt has ended: no further search starts.
+	ended bool
+	// doubts are the reasons to give the attempt up; a search runs while there are any.
+	doubts    []doubt
+	searching bool
+	searches  sync.WaitGroup
+	// stops end what may start a search.
+	stops []func()
+}
+
+// doubt is a reason to give up an attempt for as long as holds returns true.
+type doubt struct {
+	cause error
+	holds func() bool
+}
+
+// watch returns the context of an attempt at the endpoint and its failover, which looks
+// for no successor if no other attempt may follow. The caller must call end.
+func (r *exchangeRun) watch(parent context.Context, e *catalog.Endpoint) (context.Context, *failover) {
+	ctx, cancel := context.WithCancelCause(parent)
+	f := &failover{run: r, endpoint: e, ctx: ctx, cancel: cancel}
+	if !r.route.Repeatable() || r.executedAttempts+1 >= r.route.MaxAttempts {
+		f.ended = true
+		return ctx, f
+	}
+	f.watchReachability()
+	if r.route.Kind == catalog.Idempotent {
+		timeout := max(minAttemptTimeout, time.Duration(attemptTimeoutTargets*float64(r.route.TargetLatency)))
+		f.after(timeout, errTooSlow, func() bool { return true })
+	}
+	return ctx, f
+}
+
+// after doubts the attempt once d has passed. The timer returned may be reset.
+func (f *failover) after(d time.Duration, cause error, holds func() bool) *time.Timer {
+	timer := time.AfterFunc(d, func() { f.raise(doubt{cause, holds}) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, func() { timer.Stop() })
+	return timer
+}
+
+// watchReachability doubts the attempt once its endpoint becomes unreachable.
+func (f *failover) watchReachability() {
+	health := f.run.cfg.Health
+	reachable, release := health.WhileReachable(f.ctx, f.endpoint)
+	stop := context.AfterFunc(reachable, func() {
+		f.raise(doubt{errUnreachable, func() bool { return health.Unreachable(f.endpoint) }})
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, func() { stop() }, release)
+}
+
+// raise adds a doubt and starts a search for a successor unless one runs.
+func (f *failover) raise(d doubt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended || f.ctx.Err() != nil {
+		return
+	}
+	f.doubts = append(f.doubts, d)
+	if !f.searching {
+		f.searching = true
+		f.searches.Go(f.search)
+	}
+}
+
+// currentDoubt returns a doubt that holds and drops those that don't. Without any it
+// ends the search.
+func (f *failover) currentDoubt() (doubt, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubts = slices.DeleteFunc(f.doubts, func(d doubt) bool { return !d.holds() })
+	if len(f.doubts) == 0 || f.ctx.Err() != nil {
+		f.searching = false
+		return doubt{}, false
+	}
+	return f.doubts[0], true
+}
+
+// search looks for a successor until there is one and gives the attempt up then.
+func (f *failover) search() {
+	var unreachableSince time.Time
+	wasUnreachable := false
+	for {
+		d, ok := f.currentDoubt()
+		if !ok {
+			break
+		}
+		if f.run.secureSuccessor(f.ctx, d.holds) {
+			f.cancel(d.cause)
+			return
+		}
+		now := f.run.cfg.Clock.Now()
+		switch {
+		case !f.run.cfg.Health.Unreachable(f.endpoint):
+			unreachableSince = time.Time{}
+		case unreachableSince.IsZero():
+			unreachableSince, wasUnreachable = now, true
+		case now.Sub(unreachableSince) >= maxSilence && !f.run.streamStarted():
+			f.cancel(errUnreachable)
+			return
+		}
+		port.Sleep(f.ctx, failoverInterval)
+	}
+	if wasUnreachable && f.ctx.Err() == nil {
+		f.watchReachability()
+	}
+}
+
+// end ends the watch and the context of the attempt, and waits for a search that runs.
+func (f *failover) end() {
+	f.mu.Lock()
+	f.ended = true
+	f.mu.Unlock()
+	f.cancel(nil)
+	f.searches.Wait()
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// secureSuccessor makes the next attempt certain and reports whether it is. It runs
+// concurrently with the attempt, whose context is ctx, and does nothing once the attempt
+// is no longer doubted.
+func (r *exchangeRun) secureSuccessor(ctx context.Context, doubted func() bool) bool {
+	endpoints := r.eligibleEndpoints()
+	if !r.cfg.Balancer.CanPick(endpoints, r.criteria(r.currentResults().zone)) {
+		return false
+	}
+	if !r.resultsAvailable() && r.executeStages(ctx) != nil {
+		return false
+	}
+	if !r.takeRetry() || !doubted() {
+		return false
+	}
+	e := r.cfg.Balancer.Pick(endpoints, r.criteria(r.currentResults().zone))
+	if e == nil {
+		return false
+	}
+	r.retryTaken, r.successor = false, e
+	return true
+}
+
+// takeRetry takes one retry from the service's budget, unless one is left of an attempt
+// that did not take place.
+func (r *exchangeRun) takeRetry() bool {
+	r.retryTaken = r.retryTaken || r.cfg.RetryBudgets.TryTake(r.service.Name, 1)
+	return r.retryTaken
+}
+
+// nextEndpoint returns the endpoint of the next attempt, which the balancer counts as
+// sent to, once the results of the stages are available. lastErr is the error of the last
+// attempt; nil before the first one. The error is a *verdict.Error. An exchange that must
+// go on gets one only at the end of ctx.
+func (r *exchangeRun) nextEndpoint(ctx context.Context, lastErr error) (*catalog.Endpoint, error) {
+	for {
+		err := r.rerunStages(ctx, lastErr)
+		if err == nil {
+			lastErr = nil
+			if e := r.takeSuccessor(); e != nil {
+				return e, nil
+			}
+			if e := r.cfg.Balancer.Pick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)); e != nil {
+				return e, nil
+			}
+			err = r.noEndpointError()
+		}
+		if !r.mustGoOn || ctx.Err() != nil {
+			return nil, err
+		}
+		port.Sleep(ctx, failoverInterval)
+	}
+}
+
+// takeSuccessor returns the successor of the attempt that was given up, nil if there is
+// none or the exchange may not go on there: the stream may have begun, at another software
+// version, after the successor was picked.
+func (r *exchangeRun) takeSuccessor() *catalog.Endpoint {
+	e := r.successor
+	r.successor = nil
+	if e == nil {
+		return nil
+	}
+	if slices.ContainsFunc(r.eligibleEndpoints(), func(o *catalog.Endpoint) bool { return o.Incarnation() == e.Incarnation() }) {
+		return e
+	}
+	r.cfg.Balancer.Done(e, balance.Cancelled, nil)
+	return nil
+}
+
+// releaseSuccessor gives a successor back that is not needed.
+func (r *exchangeRun) releaseSuccessor() {
+	if r.successor != nil {
+		r.cfg.Balancer.Done(r.successor, balance.Cancelled, nil)
+		r.successor = nil
+	}
+}
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -16,11 +16,10 @@
 	// maxRefusals bounds the retries of an exchange after attempts that no endpoint
 	// ran. MaxAttempts of the route bounds the others.
 	maxRefusals = 3
-	// attemptTimeoutTargets is the timeout of an attempt of an idempotent request that
-	// may be retried, in multiples of the route's target latency.
+	// attemptTimeoutTargets is the time after which an attempt of an idempotent request
+	// is doubted, in multiples of the route's target latency.
 	attemptTimeoutTargets = 2.5
-	// minAttemptTimeout is the lower bound of the timeout that
-	// attemptTimeoutTargets yields.
+	// minAttemptTimeout is the lower bound of the time that attemptTimeoutTargets yields.
 	minAttemptTimeout = 250 * time.Millisecond
 	// leastUrgentPriority is the least urgent priority that an endpoint accepts;
 	// 0 is the most urgent.
@@ -32,28 +31,26 @@
 // a response is forwarded, which may be an endpoint's error response; otherwise
 // the error is a *verdict.Error.
 func (r *exchangeRun) forwardWithRetries(ctx context.Context) error {
+	defer r.releaseSuccessor()
 	var lastErr error
 	for {
-		e := r.cfg.Balancer.Pick(r.eligibleEndpoints(), r.criteria(r.resultsZone))
-		if e == nil {
-			return r.abandon(lastErr, r.noEndpointError())
+		e, err := r.nextEndpoint(ctx, lastErr)
+		if err != nil {
+			return r.abandon(lastErr, err)
 		}
-		err := r.attempt(ctx, e)
-		if err == nil {
+		r.retryTaken = false
+		lastErr = r.attempt(ctx, e)
+		if lastErr == nil {
 			return nil
 		}
-		lastErr = err
 		if ctx.Err() != nil {
 			return r.abandon(nil, verdict.Wrap(ctx.Err(), verdict.CodeDeadlineExceeded, verdict.MayHaveRun, "no answer in time"))
 		}
-		willRetry := r.mayRetry(err)
-		r.logFailedAttempt(e, err, willRetry)
-		if !willRetry {
+		willRetry := r.successor != nil || r.mayRetry(lastErr)
+		r.logFailedAttempt(e, lastErr, willRetry)
+		if !willRetry && !r.awaitRetry(ctx, lastErr) {
 			return r.abandon(lastErr, nil)
 		}
-		if err := r.rerunStages(ctx, err); err != nil {
-			return r.abandon(lastErr, err)
-		}
 	}
 }
 
@@ -83,20 +80,37 @@
 // it takes one retry from the service's budget.
 func (r *exchangeRun) mayRetry(err error) bool {
 	if verdict.Of(err) == verdict.NotRun {
-		if r.attempts-r.executedAttempts > maxRefusals {
+		if !r.mustGoOn && r.attempts-r.executedAttempts > maxRefusals {
 			return false
 		}
 	} else if !r.route.Repeatable() || r.executedAttempts >= r.route.MaxAttempts {
 		return false
 	}
-	return r.cfg.RetryBudgets.TryTake(r.service.Name, 1)
+	return r.takeRetry()
+}
+
+// awaitRetry waits until the budget has a retry for an exchange that must go on after a
+// refusal. It reports false for other exchanges and at the end of ctx.
+func (r *exchangeRun) awaitRetry(ctx context.Context, err error) bool {
+	if !r.mustGoOn || verdict.Of(err) != verdict.NotRun {
+		return false
+	}
+	for ctx.Err() == nil {
+		if r.takeRetry() {
+			return true
+		}
+		port.Sleep(ctx, failoverInterval)
+	}
+	return false
 }
 
 // rerunStages runs the stages again before a retry if their results are no longer
 // available: they were freed after the first event, or err, the error of the last
-// attempt, says that an input is missing at the endpoint.
+// attempt, says that an input is missing at the endpoint. err is nil before the first
+// attempt.
 func (r *exchangeRun) rerunStages(ctx context.Context, err error) error {
-	if len(r.route.Stages) == 0 || r.inputHandles != nil && verdict.From(err).Code != verdict.CodeConflict {
+	inputMissing := err != nil && verdict.From(err).Code == verdict.CodeConflict
+	if len(r.route.Stages) == 0 || r.resultsAvailable() && !inputMissing {
 		return nil
 	}
 	r.freeResults()
@@ -107,14 +121,8 @@
 // balancer, the health monitor and the crash tracker. It returns nil once the
 // whole response is forwarded to the caller; the error is a *verdict.Error.
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
-	reachable, release := r.attemptContext(parent, e)
-	defer release()
-	ctx, cancel := context.WithCancelCause(reachable)
-	defer cancel(nil)
-	if timeout, ok := r.attemptTimeout(); ok {
-		timer := time.AfterFunc(timeout, func() { cancel(errTooSlow) })
-		defer timer.Stop()
-	}
+	ctx, failover := r.watch(parent, e)
+	defer failover.end()
 	r.attempts++
 	r.attempted[e.ID] = true
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
@@ -122,11 +130,11 @@
 	r.announceOrigin(e)
 	var load *port.EndpointLoad
 	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, Customer: r.customer, Remaining: r.remainingTime(),
-		Priority: min(leastUrgentPriority, r.priority), Inputs: r.inputHandles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
+		Priority: min(leastUrgentPriority, r.priority), Inputs: r.currentResults().handles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
 	startedAt := r.cfg.Clock.Now()
 	err := r.cfg.Endpoints.Forward(ctx, request, func(response *port.EndpointResponse) error {
 		load = response.Load
-		return r.handleResponse(ctx, response, cancel, startedAt)
+		return r.handleResponse(ctx, response, failover, startedAt)
 	})
 	if err != nil && verdict.Of(err) != verdict.NotRun {
 		r.executedAttempts++
@@ -134,6 +142,7 @@
 	r.record.cancelCause = nil
 	if parent.Err() == nil {
 		r.record.cancelCause = context.Cause(ctx)
+		r.mustGoOn = r.mustGoOn || r.successor != nil
 	}
 	outcome := r.classifyOutcome(parent, err)
 	if outcome == balance.ConnectionFailed {
@@ -146,27 +155,8 @@
 	return err
 }
 
-// attemptContext returns the context of an attempt. If another attempt may
-// follow, it is cancelled as soon as the endpoint is marked unreachable.
-func (r *exchangeRun) attemptContext(parent context.Context, e *catalog.Endpoint) (context.Context, context.CancelFunc) {
-	if r.route.Repeatable() && r.executedAttempts+1 < r.route.MaxAttempts {
-		return r.cfg.Health.WhileReachable(parent, e)
-	}
-	return context.WithCancel(parent)
-}
-
-// attemptTimeout returns how long an attempt of an idempotent request may take
-// if another attempt may follow. It reports false if the attempt has no timeout
-// of its own.
-func (r *exchangeRun) attemptTimeout() (time.Duration, bool) {
-	if r.route.Kind != catalog.Idempotent || r.executedAttempts+1 >= r.route.MaxAttempts {
-		return 0, false
-	}
-	return max(minAttemptTimeout, time.Duration(attemptTimeoutTargets*float64(r.route.TargetLatency))), true
-}
-
 // classifyOutcome returns the outcome of an attempt for the balancer. parent is
-// the context of the exchange, which the timeout of the attempt does not end.
+// the context of the exchange, which giving the attempt up does not end.
 func (r *exchangeRun) classifyOutcome(parent context.Context, err error) balance.Outcome {
 	if err == nil {
 		return balance.Succeeded
@@ -192,15 +182,15 @@
 // handleResponse reads an endpoint's response and forwards it. It returns nil only
 // if the whole response was forwarded to the caller. It stores a server error of
 // a repeatable request in r.fallback instead and returns an error. startedAt is
-// when the attempt started, and cancel ends the attempt.
-func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, cancel context.CancelCauseFunc, startedAt time.Time) error {
+// when the attempt started.
+func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
 	switch {
 	case response.NotRun:
 		return refusalError(response)
 	case response.ContentEncoded, isSuccess(response.Status) && (!response.Signed || !response.HasAttemptID):
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
-		return r.forwardStream(ctx, response, cancel, startedAt)
+		return r.forwardStream(ctx, response, failover, startedAt)
 	}
 	buffered := &bufferedResponse{status: response.Status, header: response.Header}
 	complete, err := r.holdBody(buffered, response.Body, response.Length)
@@ -231,12 +221,6 @@
 	}
 }
 
-// Causes for which this host cancels an attempt, besides those of the health monitor.
-var (
-	errTooSlow = errors.New("no answer within the attempt's time")
-	errStalled = errors.New("stream makes no progress")
-)
-
 // errAddressReused means that another endpoint now has the address of the one
 // that the exchange was sent to.
 var errAddressReused = errors.New("another endpoint has the address")
--- a/internal/exchange/origin.go
+++ b/internal/exchange/origin.go
@@ -45,15 +45,18 @@
 // mayContinue returns those of the endpoints at which the stream may go on: all before
 // its first event.
 func (r *exchangeRun) mayContinue(endpoints []*catalog.Endpoint) []*catalog.Endpoint {
-	if r.origin == nil {
+	r.attemptMu.Lock()
+	begun := r.origin
+	r.attemptMu.Unlock()
+	if begun == nil {
 		return endpoints
 	}
-	if r.isDoubtful(*r.origin) {
+	if r.isDoubtful(*begun) {
 		return nil
 	}
 	var allowed []*catalog.Endpoint
 	for _, e := range endpoints {
-		if r.origin.Allows(e) {
+		if begun.Allows(e) {
 			allowed = append(allowed, e)
 		}
 	}
@@ -87,6 +90,8 @@
 		o = origin.Origin{}
 		r.announcement = r.cfg.Origins.Announce(r.route.Name, r.exchange.ID, r.attempts+1, o, r.remainingTime())
 	}
+	r.attemptMu.Lock()
 	r.origin = &o
+	r.attemptMu.Unlock()
 	r.announcement.Wait(ctx)
 }
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -132,20 +132,24 @@
 	priority        int // 0 is the most urgent
 	deadline        time.Time
 
-	// results are the stage results that have not been freed.
-	results stagework.Results
-	// inputHandles are the handles of results; nil before the stages have run and
-	// once the results are freed.
-	inputHandles []string
-	// resultsZone is the zone that stores most of the results; empty if there are
-	// none.
-	resultsZone string
+	// attemptMu guards results, origin and stream.started while an attempt runs: a search
+	// for its successor runs concurrently with it.
+	attemptMu sync.Mutex
+	results   stageResults
 	// attempted holds the ids of the endpoints to which the exchange was sent.
 	attempted map[string]bool
 	attempts  int
 	// executedAttempts is the number of failed attempts that an endpoint may have
 	// run.
 	executedAttempts int
+	// successor is the endpoint of the next attempt, for which a retry was taken, if the
+	// last one was given up; nil otherwise. A search sets it while an attempt runs.
+	successor *catalog.Endpoint
+	// retryTaken says that a retry was taken from the budget for the next attempt.
+	retryTaken bool
+	// mustGoOn is set once this host gave up an attempt for a successor: no refusal ends
+	// the exchange.
+	mustGoOn bool
 	// fallback is the newest server error (status 500 or above) of an endpoint; nil
 	// if there is none. It is forwarded if the exchange is abandoned.
 	fallback *bufferedResponse
--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -44,10 +44,38 @@
 	return 0
 }
 
-// executeStages executes all stages of the route and sets results, inputHandles
-// and resultsZone. For a route without stages it does nothing. If no stage has pieces
-// or an error occurs, it leaves results as they are and sets inputHandles and
-// resultsZone empty. The error is a *verdict.Error.
+// stageResults are the results of an exchange's stages.
+type stageResults struct {
+	// held are the results that have not been freed.
+	held stagework.Results
+	// handles are those of held; nil before the stages have run and once the results
+	// are freed.
+	handles []string
+	// zone is the zone that stores most of the results; empty if there are none.
+	zone string
+}
+
+func (r *exchangeRun) currentResults() stageResults {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	return r.results
+}
+
+func (r *exchangeRun) setResults(s stageResults) {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	r.results = s
+}
+
+// resultsAvailable reports whether an endpoint can fetch the results of the stages, or
+// there are no stages.
+func (r *exchangeRun) resultsAvailable() bool {
+	return len(r.route.Stages) == 0 || r.currentResults().handles != nil
+}
+
+// executeStages executes all stages of the route and sets the results. For a route
+// without stages it does nothing. After an error, a *verdict.Error, the results are as
+// before.
 func (r *exchangeRun) executeStages(ctx context.Context) error {
 	if len(r.route.Stages) == 0 {
 		return nil
@@ -61,15 +89,15 @@
 		plan.Stages = append(plan.Stages, stagework.Stage{Service: s.Service, DependsOn: s.DependsOn, Pieces: r.pieces(i), ResultBytes: s.ResultBytes})
 		totalPieces += r.pieces(i)
 	}
-	r.inputHandles, r.resultsZone = []string{}, ""
 	if totalPieces == 0 {
+		r.setResults(stageResults{handles: []string{}})
 		return nil
 	}
 	results, err := r.cfg.Stages.Execute(ctx, plan)
 	if err != nil {
 		return err
 	}
-	r.results, r.inputHandles, r.resultsZone = results, results.Handles, results.Zone
+	r.setResults(stageResults{results, append([]string{}, results.Handles...), results.Zone})
 	r.record.stageQueueWait += results.QueueWait
 	r.record.coordinator = results.Coordinator
 	return nil
@@ -88,8 +116,9 @@
 // freeResults frees the stage results at once. Call it once the endpoint has fetched
 // them or no endpoint will. Without results it does nothing.
 func (r *exchangeRun) freeResults() {
-	r.cfg.Stages.Free(r.results)
-	r.results, r.inputHandles = stagework.Results{}, nil
+	freed := r.currentResults()
+	r.setResults(stageResults{zone: freed.zone})
+	r.cfg.Stages.Free(freed.held)
 }
 
 // timeToFirstEvent returns the moving average of the time from the start of an
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -21,8 +22,7 @@
 	// ones.
 	maxIdleBytes = 256 << 10
 	// stallGaps is the time without progress after which the attempt at a resumable
-	// stream is cancelled and another endpoint resumes the stream, in multiples of
-	// the route's target event gap.
+	// stream is doubted, in multiples of the route's target event gap.
 	stallGaps = 3
 	// minStallTimeout is the lower bound of the time that stallGaps yields.
 	minStallTimeout = 800 * time.Millisecond
@@ -37,6 +37,20 @@
 	lastEventID string
 }
 
+// setStreamStarted and streamStarted access r.stream.started. Only the attempt's own
+// goroutine may read it otherwise.
+func (r *exchangeRun) setStreamStarted() {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	r.stream.started = true
+}
+
+func (r *exchangeRun) streamStarted() bool {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	return r.stream.started
+}
+
 // resumeFrom returns the id of the event after which the next attempt resumes,
 // empty if the stream starts from its beginning.
 func (s *streamState) resumeFrom(x *port.Exchange) string {
@@ -49,8 +63,13 @@
 // forwardStream forwards events as they arrive. It forwards only complete
 // events, so that the stream can be resumed at another endpoint. A stream that
 // ends without an event or within one is an error.
-func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, cancel context.CancelCauseFunc, startedAt time.Time) error {
-	stall := r.stallTimer(cancel)
+func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
+	var lastProgress atomic.Int64 // nanoseconds since startedAt
+	recordProgress := func() { lastProgress.Store(int64(r.cfg.Clock.Now().Sub(startedAt))) }
+	recordProgress()
+	stall := failover.after(r.stallTimeout(), errStalled, func() bool {
+		return r.cfg.Clock.Now().Sub(startedAt)-time.Duration(lastProgress.Load()) >= r.stallTimeout()
+	})
 	defer stall.Stop()
 	var pending []byte
 	countedBytes := uncountedBytes // of pending that count towards the budget, or need not
@@ -67,6 +86,7 @@
 				return err
 			}
 			if progressed {
+				recordProgress()
 				stall.Reset(r.stallTimeout())
 				idleBytes = 0
 			} else if idleBytes += len(events); idleBytes > maxIdleBytes {
@@ -91,16 +111,8 @@
 // eventEnd is the delimiter between events.
 var eventEnd = []byte("\n\n")
 
-// stallTimer returns a running timer that cancels the attempt after the stall
-// timeout without progress if the route's streams can be resumed.
-func (r *exchangeRun) stallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	return time.AfterFunc(r.stallTimeout(), func() {
-		if r.route.Resumable {
-			cancel(errStalled)
-		}
-	})
-}
-
+// stallTimeout returns the time without progress after which the attempt at a stream is
+// doubted.
 func (r *exchangeRun) stallTimeout() time.Duration {
 	return max(minStallTimeout, stallGaps*r.route.TargetEventGap)
 }
@@ -117,7 +129,7 @@
 	}
 	if !r.stream.started {
 		r.fixOrigin(ctx)
-		r.stream.started = true
+		r.setStreamStarted()
 		r.record.status = response.Status
 		if err := r.responder.WriteHeader(response.Status, response.Header, -1); err != nil {
 			return false, callerGoneError(err)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -107,6 +107,14 @@
 	return s != nil && s.avoided
 }
 
+// Unreachable reports whether an endpoint is unreachable.
+func (m *Monitor) Unreachable(e *catalog.Endpoint) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.states[e.Incarnation()]
+	return s != nil && s.unreachable
+}
+
 // Available returns the endpoints of the list that are not avoided.
 func (m *Monitor) Available(list []*catalog.Endpoint) []*catalog.Endpoint {
 	m.mu.Lock()
