Don't count an attempt that this host gave up as a crash of the endpoint

An attempt given up because its endpoint was silent was reported as a crash of the endpoint under the request, so that sound requests under silent endpoints gathered crashes and were refused after three.

Only a connection that the endpoint broke is reported. TestSilentEndpointsAreNoCrashes failed before: one request, sent again and again, was to be refused.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -147,7 +147,7 @@
 	outcome := r.classifyOutcome(parent, err)
 	if outcome == balance.ConnectionFailed {
 		r.cfg.Health.RecordFailure(e)
-		if verdict.Of(err) != verdict.NotRun {
+		if verdict.Of(err) != verdict.NotRun && r.record.cancelCause == nil {
 			r.cfg.CrashTracker.ReportCrash(r.exchange, e.ID)
 		}
 	}
--- a/internal/exchange/soak_test.go
+++ b/internal/exchange/soak_test.go
@@ -11,10 +11,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
@@ -55,7 +58,9 @@
 	// run to its end.
 	brokenOff map[string]bool
 	failures  []string
-	outcomes  map[string]int
+	// refusals counts the requests taken for ones that crash endpoints.
+	refusals atomic.Int64
+	outcomes map[string]int
 }
 
 // soakEndpoint is an endpoint. It neither reads nor writes while it is silent.
@@ -81,10 +86,15 @@
 	return nil, verdict.New(verdict.CodeNotReady, verdict.NotRun, "no other host")
 }
 
-// storeAway is a store that can't be reached.
-type storeAway struct{ port.WatchableStore }
+// storeAway is a store that can't be reached. It counts the attempts to write an entry that
+// has a request refused.
+type storeAway struct {
+	port.WatchableStore
+	refusals *atomic.Int64
+}
 
-func (storeAway) GrantLease(context.Context, time.Duration) (port.Lease, error) {
+func (s storeAway) GrantLease(context.Context, time.Duration) (port.Lease, error) {
+	s.refusals.Add(1)
 	return port.Lease{}, port.ErrUncertain
 }
 
@@ -103,7 +113,7 @@
 	s.server = New(Config{Snapshot: s.current, Balancer: balance.New("edge-0", "kranj", clock, rand.New(rand.NewPCG(seed, 2)), balance.ColdSendLimit{}, limits),
 		RetryBudgets: quota.NewRetryBudgets(budget, clock), RateLimits: limits, Endpoints: s, Health: s.monitor, Origins: s.origins,
 		Stages:       stagework.NewDispatcher(stagework.Config{Peers: none{}, Endpoints: s, Health: s.monitor, RateLimits: limits, Clock: clock, Log: log}),
-		CrashTracker: crashing.New(none{}, storeAway{}, "", clock, log), Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
+		CrashTracker: crashing.New(none{}, storeAway{refusals: &s.refusals}, "", clock, log), Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
 	s.configure()
 	return s
 }
@@ -386,6 +396,31 @@
 	s.monitor.Close()
 }
 
+// TestSilentEndpointsAreNoCrashes guards against sound requests that are refused because the
+// endpoints that they were given up at were silent.
+func TestSilentEndpointsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	var s *soak
+	synctest.Test(t, func(*testing.T) {
+		s = newSoak(2)
+		for round := range 4 {
+			for i := range soakEndpoints {
+				s.mu.Lock()
+				s.endpoints[fmt.Sprint("e", i)].silentUntil = time.Now().Add(1500 * time.Millisecond)
+				s.mu.Unlock()
+				for range soakEndpoints {
+					s.requests.Go(func() { s.call(0) })
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(time.Duration(round) * time.Second)
+		}
+		s.requests.Wait()
+		s.monitor.Close()
+	})
+	is.Equal(s.refusals.Load(), int64(0))
+}
+
 // TestSilentEndpointsCutNoResponse guards against responses that end because a sound
 // endpoint is silent for up to 3 s: with small retry budgets, configurations, rollouts and
 // the shutdown of the host.
