Wait through a silence inside the response to an earlier call

Callers saw 502 if, on a reused connection, the response to an earlier call came first and its server fell silent for over 250 ms inside that body; their own response followed.

Cause: such a body had to arrive within 250 ms, silences included.

Evidence: TestSilenceInOtherResponseLosesNoResponse failed before the change with "connection carried only responses to other calls".

Change: the bound counts as that of headers does, a silence as 100 ms at most. The rest of a response that belongs to the call is still read for 250 ms in all, because its caller waits.

Measured: the test passes, and TestEndlessResponsesCostLittle with its bounds unchanged.

--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -29,9 +29,9 @@
 			return err
 		}
 		resp.Header.SetNoDefaultContentType(true)
-		c.inHeader, c.headerTime = true, 0
+		c.limitArrival(headerTimeout)
 		err := resp.Header.Read(c.reader)
-		c.inHeader = false
+		c.limitArrival(0)
 		if err != nil {
 			return err
 		}
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -17,10 +17,9 @@
 	// writeDeadline is the time after which nothing more is written for the current
 	// call; zero means no limit.
 	writeDeadline time.Time
-	// inHeader is set while a response's header is read, of which headerTime has been
-	// counted so far.
-	inHeader   bool
-	headerTime time.Duration
+	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
+	// counted so far; 0 means no limit.
+	arrivalLimit, arrivalTime time.Duration
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// serverIdleTimeout is how long the server keeps the connection open while
@@ -40,19 +39,21 @@
 	return n, err
 }
 
-// Read counts the time for which a header arrives, in which a silence counts as
-// maxHeaderGap: a sound server may fall silent and go on. The call's context bounds the
-// silence itself.
+// limitArrival bounds the time for which bytes arrive from now on; 0 ends that.
+func (c *conn) limitArrival(limit time.Duration) { c.arrivalLimit, c.arrivalTime = limit, 0 }
+
+// Read applies arrivalLimit. A silence counts as maxArrivalGap at most: a sound server may
+// fall silent and go on. The call's context bounds the silence itself.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.inHeader {
+	if c.arrivalLimit == 0 {
 		return c.Conn.Read(p)
 	}
-	if c.headerTime > headerTimeout {
+	if c.arrivalTime > c.arrivalLimit {
 		return 0, os.ErrDeadlineExceeded
 	}
 	start := time.Now()
 	n, err := c.Conn.Read(p)
-	c.headerTime += min(time.Since(start), maxHeaderGap)
+	c.arrivalTime += min(time.Since(start), maxArrivalGap)
 	return n, err
 }
 
--- a/internal/adapter/httpcall/header_test.go
+++ b/internal/adapter/httpcall/header_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 )
 
 // connTo returns a connection whose other end serve has after it has read the request.
@@ -119,3 +120,26 @@
 		is.Equal(time.Since(start), 400*time.Millisecond)
 	})
 }
+
+// TestSilenceInOtherResponseLosesNoResponse guards against a response that is given up
+// because its server falls silent inside the body of the response to an earlier call.
+func TestSilenceInOtherResponseLosesNoResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := connTo(t, func(server net.Conn) {
+			_ = writeParts(server, time.Second, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\n", "old", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+		var body []byte
+		_, err := p.Exchange(t.Context(), "server", false, Call{
+			Write:   func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
+			Matches: func(r *fasthttp.Response) bool { return len(r.Header.Peek("X-Id")) == 0 },
+			Read: func(r *fasthttp.Response) error {
+				var err error
+				body, err = ReadBody(r, 100)
+				return err
+			},
+		})
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+	})
+}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -35,11 +35,11 @@
 	// of a response header.
 	readBufferBytes = 8 << 10
 	// headerTimeout bounds the time for which a response's header arrives after its first
-	// bytes. A silence counts as maxHeaderGap at most.
+	// bytes. A silence counts as maxArrivalGap at most.
 	headerTimeout = 2 * time.Second
-	maxHeaderGap  = 100 * time.Millisecond
+	maxArrivalGap = 100 * time.Millisecond
 	// maxDiscardedBytes and discardTimeout bound what is read of a body that nobody needs
-	// so that the connection can be reused.
+	// so that the connection can be used further.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 250 * time.Millisecond
 )
@@ -181,16 +181,20 @@
 		if call.Matches == nil || call.Matches(resp) {
 			return readResponse(c, resp, call)
 		}
-		if !c.discardRest(resp) {
+		// The call's own response follows, so that a silence is no reason to give up.
+		c.limitArrival(discardTimeout)
+		usable := discardRest(resp)
+		c.limitArrival(0)
+		if !usable {
 			return false, ErrUnexpectedResponse
 		}
 	}
 	return false, ErrUnexpectedResponse
 }
 
-// discardRest reads the rest of a response's body, up to maxDiscardedBytes and for
-// discardTimeout at most. It reports whether the connection can still be used.
-func (c *conn) discardRest(resp *fasthttp.Response) bool {
+// discardRest reads the rest of a response's body, up to maxDiscardedBytes. It reports
+// whether the connection can still be used.
+func discardRest(resp *fasthttp.Response) bool {
 	body := resp.BodyStream()
 	if resp.ConnectionClose() {
 		return false
@@ -198,9 +202,8 @@
 	if body == nil {
 		return true
 	}
-	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
-	return err == nil && n <= maxDiscardedBytes && c.SetReadDeadline(time.Time{}) == nil
+	return err == nil && n <= maxDiscardedBytes
 }
 
 // readResponse passes the response to call.Read and reports whether the connection
@@ -209,7 +212,8 @@
 	if err := call.Read(resp); err != nil {
 		return false, err
 	}
-	if !c.discardRest(resp) {
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
+	if !discardRest(resp) || c.SetReadDeadline(time.Time{}) != nil {
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
