Read the response of a server that stops reading the request

Callers saw 502 for a request with a long body that an endpoint refused, or answered, before it had read the body, if it then closed the connection. A refusal like that may be retried for any request, and the endpoint was recorded as failed and the request as crashing it.

Cause: after a failed write the response was not read, though it had arrived.

Change: after EPIPE or ECONNRESET the response is read, which can't block as the connection is dead. A body that ends with the connection is never complete then, since the write has taken the error that would tell a reset from an end. The connection is not used again.

--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net/http/httputil"
 
 	"github.com/go-faster/errors"
@@ -47,7 +48,8 @@
 // complete body. fasthttp's own stream treats the end of the connection between
 // two chunks as the end of the body. It sets no stream if the response has no body,
 // which noBody says regardless of the header.
-func attachBody(r *bufio.Reader, resp *fasthttp.Response, noBody bool) {
+func (c *conn) attachBody(resp *fasthttp.Response, noBody bool) {
+	r := c.reader
 	status := resp.StatusCode()
 	if noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return
@@ -56,7 +58,11 @@
 	case lengthChunked:
 		resp.SetBodyStream(NewChunkedReader(r), -1)
 	case lengthUntilClose:
-		resp.SetBodyStream(r, -1)
+		if c.reset { // no end is proper
+			resp.SetBodyStream(&fixedLengthBody{r: r, remaining: math.MaxInt}, -1)
+		} else {
+			resp.SetBodyStream(r, -1)
+		}
 		resp.SetConnectionClose()
 	default:
 		resp.SetBodyStream(&fixedLengthBody{r: r, remaining: length}, length)
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -17,6 +17,9 @@
 	// writeDeadline is the time after which nothing more is written for the current
 	// call; zero means no limit.
 	writeDeadline time.Time
+	// reset is set once a write found the connection reset: what can be read may be cut
+	// anywhere.
+	reset bool
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
 	arrivalLimit, arrivalTime time.Duration
--- a/internal/adapter/httpcall/early_test.go
+++ b/internal/adapter/httpcall/early_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -86,3 +87,46 @@
 		is.True(bytes.Equal(<-got, body))
 	}
 }
+
+// TestResponseIsReadThoughTheServerStopsReading guards against a response that is lost
+// because its server closes the connection with part of a long body unread, so that the
+// body can't be sent. Such a response is complete only if its length or chunks say so.
+func TestResponseIsReadThoughTheServerStopsReading(t *testing.T) {
+	for name, tc := range map[string]struct {
+		response string
+		complete bool
+	}{
+		"refusal with length": {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\nConnection: close\r\n\r\nfull", true},
+		"refusal in chunks":   {"HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", true},
+		"until close":         {"HTTP/1.1 503 Service Unavailable\r\n\r\nfull", false},
+		"cut in the body":     {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\nfull", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, _ := serveConns(t, func(c *net.TCPConn, r *bufio.Reader) {
+				_ = readContentLength(r)
+				_, _ = io.WriteString(c, tc.response)
+				time.Sleep(20 * time.Millisecond) // the body fills the sockets
+			})
+			p := New(Config{})
+			defer p.Close()
+			for range 2 {
+				req := fasthttp.AcquireRequest()
+				req.Header.SetMethod(fasthttp.MethodPost)
+				req.SetRequestURI("http://" + addr + "/")
+				req.SetBodyRaw(bytes.Repeat([]byte("b"), 16<<20))
+				status, body := 0, ""
+				_, err := p.Do(context.Background(), addr, req, false, func(resp *fasthttp.Response) error {
+					status = resp.StatusCode()
+					raw, err := ReadBody(resp, 100)
+					body = string(raw)
+					return err
+				})
+				fasthttp.ReleaseRequest(req)
+				is.Equal(status, 503)
+				is.Equal(err == nil, tc.complete)
+				is.Equal(body == "full", tc.complete)
+			}
+		})
+	}
+}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -163,13 +164,31 @@
 // roundTrip writes the request and reads the response. It reports whether the
 // connection can be reused, which is false after any error.
 func roundTrip(c *conn, call Call) (bool, error) {
+	writeErr := writeRequest(c, call)
+	if writeErr != nil && (c.bytesSent == 0 || !isReset(writeErr)) {
+		return false, writeErr
+	}
+	// A server that stops reading a long body may have responded first.
+	c.reset = writeErr != nil
+	reusable, err := readResponses(c, call)
+	return reusable && writeErr == nil, err
+}
+
+func writeRequest(c *conn, call Call) error {
 	w := bufio.NewWriter(c)
 	if err := call.Write(w); err != nil {
-		return false, err
-	}
-	if err := w.Flush(); err != nil {
-		return false, err
+		return err
 	}
+	return w.Flush()
+}
+
+// isReset reports whether a write failed because the server closed the connection.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// readResponses reads responses up to the call's own, as described at roundTrip.
+func readResponses(c *conn, call Call) (bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	for range maxResponsesPerCall {
@@ -177,7 +196,7 @@
 		if err := c.readHeader(resp); err != nil {
 			return false, err
 		}
-		attachBody(c.reader, resp, call.NoBody)
+		c.attachBody(resp, call.NoBody)
 		if call.Matches == nil || call.Matches(resp) {
 			return readResponse(c, resp, call)
 		}
