--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net/http/httputil"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
@@ -23,18 +23,17 @@
 )
 
 // readHeader reads the header of the final response into resp and skips interim
-// responses. Each header must arrive within headerTimeout once it has begun.
+// responses. headerTimeout bounds each of them.
 func (c *conn) readHeader(resp *fasthttp.Response) error {
 	for range maxHeadersPerResponse {
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
 		resp.Header.SetNoDefaultContentType(true)
-		if err := resp.Header.Read(c.reader); err != nil {
-			return err
-		}
-		if err := c.SetReadDeadline(time.Time{}); err != nil {
+		c.limitArrival(headerTimeout)
+		err := resp.Header.Read(c.reader)
+		c.limitArrival(0)
+		if err != nil {
 			return err
 		}
 		if status := resp.StatusCode(); status < 100 || status > 199 {
@@ -49,7 +48,8 @@
 // complete body. fasthttp's own stream treats the end of the connection between
 // two chunks as the end of the body. It sets no stream if the response has no body,
 // which noBody says regardless of the header.
-func attachBody(r *bufio.Reader, resp *fasthttp.Response, noBody bool) {
+func (c *conn) attachBody(resp *fasthttp.Response, noBody bool) {
+	r := c.reader
 	status := resp.StatusCode()
 	if noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return
@@ -58,7 +58,11 @@
 	case lengthChunked:
 		resp.SetBodyStream(NewChunkedReader(r), -1)
 	case lengthUntilClose:
-		resp.SetBodyStream(r, -1)
+		if c.reset { // no end is proper
+			resp.SetBodyStream(&fixedLengthBody{r: r, remaining: math.MaxInt}, -1)
+		} else {
+			resp.SetBodyStream(r, -1)
+		}
 		resp.SetConnectionClose()
 	default:
 		resp.SetBodyStream(&fixedLengthBody{r: r, remaining: length}, length)
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"time"
 )
 
@@ -16,6 +17,12 @@
 	// writeDeadline is the time after which nothing more is written for the current
 	// call; zero means no limit.
 	writeDeadline time.Time
+	// reset is set once a write found the connection reset: what can be read may be cut
+	// anywhere.
+	reset bool
+	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
+	// counted so far; 0 means no limit.
+	arrivalLimit, arrivalTime time.Duration
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// serverIdleTimeout is how long the server keeps the connection open while
@@ -35,6 +42,24 @@
 	return n, err
 }
 
+// limitArrival bounds the time for which bytes arrive from now on; 0 ends that.
+func (c *conn) limitArrival(limit time.Duration) { c.arrivalLimit, c.arrivalTime = limit, 0 }
+
+// Read applies arrivalLimit. A silence counts as maxArrivalGap at most: a sound server may
+// fall silent and go on. The call's context bounds the silence itself.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.arrivalLimit == 0 {
+		return c.Conn.Read(p)
+	}
+	if c.arrivalTime > c.arrivalLimit {
+		return 0, os.ErrDeadlineExceeded
+	}
+	start := time.Now()
+	n, err := c.Conn.Read(p)
+	c.arrivalTime += min(time.Since(start), maxArrivalGap)
+	return n, err
+}
+
 // acquire returns an idle connection to addr or dials a new one. With forceNew it
 // always dials.
 func (p *Pool) acquire(ctx context.Context, addr string, forceNew bool) (*conn, error) {
@@ -47,7 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return newConn(nc), nil
+}
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
 }
 
 // takeIdle removes the most recently used idle connection to addr that is still
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,10 +35,12 @@
 	// readBufferBytes is the size of a connection's read buffer. It also limits the size
 	// of a response header.
 	readBufferBytes = 8 << 10
-	// headerTimeout bounds the time from the first byte of a response's header to its end.
+	// headerTimeout bounds the time for which a response's header arrives after its first
+	// bytes. A silence counts as maxArrivalGap at most.
 	headerTimeout = 2 * time.Second
+	maxArrivalGap = 100 * time.Millisecond
 	// maxDiscardedBytes and discardTimeout bound what is read of a body that nobody needs
-	// so that the connection can be reused.
+	// so that the connection can be used further.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 250 * time.Millisecond
 )
@@ -161,13 +164,31 @@
 // roundTrip writes the request and reads the response. It reports whether the
 // connection can be reused, which is false after any error.
 func roundTrip(c *conn, call Call) (bool, error) {
+	writeErr := writeRequest(c, call)
+	if writeErr != nil && (c.bytesSent == 0 || !isReset(writeErr)) {
+		return false, writeErr
+	}
+	// A server that stops reading a long body may have responded first.
+	c.reset = writeErr != nil
+	reusable, err := readResponses(c, call)
+	return reusable && writeErr == nil, err
+}
+
+func writeRequest(c *conn, call Call) error {
 	w := bufio.NewWriter(c)
 	if err := call.Write(w); err != nil {
-		return false, err
-	}
-	if err := w.Flush(); err != nil {
-		return false, err
+		return err
 	}
+	return w.Flush()
+}
+
+// isReset reports whether a write failed because the server closed the connection.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// readResponses reads responses up to the call's own, as described at roundTrip.
+func readResponses(c *conn, call Call) (bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	for range maxResponsesPerCall {
@@ -175,20 +196,24 @@
 		if err := c.readHeader(resp); err != nil {
 			return false, err
 		}
-		attachBody(c.reader, resp, call.NoBody)
+		c.attachBody(resp, call.NoBody)
 		if call.Matches == nil || call.Matches(resp) {
 			return readResponse(c, resp, call)
 		}
-		if !c.discardRest(resp) {
+		// The call's own response follows, so that a silence is no reason to give up.
+		c.limitArrival(discardTimeout)
+		usable := discardRest(resp)
+		c.limitArrival(0)
+		if !usable {
 			return false, ErrUnexpectedResponse
 		}
 	}
 	return false, ErrUnexpectedResponse
 }
 
-// discardRest reads the rest of a response's body, up to maxDiscardedBytes and for
-// discardTimeout at most. It reports whether the connection can still be used.
-func (c *conn) discardRest(resp *fasthttp.Response) bool {
+// discardRest reads the rest of a response's body, up to maxDiscardedBytes. It reports
+// whether the connection can still be used.
+func discardRest(resp *fasthttp.Response) bool {
 	body := resp.BodyStream()
 	if resp.ConnectionClose() {
 		return false
@@ -196,9 +221,8 @@
 	if body == nil {
 		return true
 	}
-	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
-	return err == nil && n <= maxDiscardedBytes && c.SetReadDeadline(time.Time{}) == nil
+	return err == nil && n <= maxDiscardedBytes
 }
 
 // readResponse passes the response to call.Read and reports whether the connection
@@ -207,7 +231,8 @@
 	if err := call.Read(resp); err != nil {
 		return false, err
 	}
-	if !c.discardRest(resp) {
+	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
+	if !discardRest(resp) || c.SetReadDeadline(time.Time{}) != nil {
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
