--- a/internal/exchange/untilclose_test.go
+++ b/internal/exchange/untilclose_test.go
@@ -71,7 +71,9 @@
 		if tc.reset {
 			body = io.MultiReader(body, iotest.ErrReader(errors.New("connection reset")))
 		}
-		err := r.handleResponse(t.Context(), &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -2, Body: iotest.OneByteReader(body)}, func() {}, time.Time{})
+		ctx, failover := r.watch(t.Context(), nil)
+		err := r.handleResponse(ctx, &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -2, Body: iotest.OneByteReader(body)}, failover, time.Time{})
+		failover.end()
 		is.Equal(err == nil, tc.whole)
 		is.Equal(out.finished, tc.whole)
 		if tc.whole {
