Answer a caller that has shut down its sending side

Callers that shut down their sending side after a whole request got a bare close, also in place of a refusal that had nothing to do with it.

Cause: the end of the caller's sending side can't be told from the end of the caller. Both end the attempts, which has to stay so, because work for callers that have gone must stop; but the response was aborted as well.

Evidence: TestCallerThatEndsItsSideGetsAnError and TestEndsThatArriveWithRequestsAreAnswered. Before the change 3 of 4 rows of the first, and the second, failed with unexpected EOF.

Change: the error is sent if no header was sent yet. A request that an endpoint may have run gets 502, which promises nothing; a refusal keeps its status, and is now logged with its own outcome instead of caller_cancelled. A response whose header was sent is cut as before.

Measured: both tests pass, two runs with the race detector.

--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -284,19 +284,20 @@
 func (r *exchangeRun) remainingTime() time.Duration { return r.deadline.Sub(r.cfg.Clock.Now()) }
 
 // complete logs the exchange, after it has sent err, if there is one, to the
-// caller, or aborted the response if ctx, the caller's context, has ended. An err
-// with NotRun becomes MayHaveRun if an endpoint may have run an earlier attempt.
+// caller. It does so also if ctx, the caller's context, has ended: a caller that has
+// only shut down its sending side still reads. An err with NotRun becomes MayHaveRun
+// if an endpoint may have run an earlier attempt.
 func (r *exchangeRun) complete(ctx context.Context, err error) {
-	switch {
-	case err == nil:
-	case ctx.Err() != nil:
-		err = verdict.Wrap(err, verdict.CodeCallerCancelled, verdict.MayHaveRun, "caller has gone")
-		r.responder.Abort()
-	default:
-		if e := verdict.From(err); e.Verdict == verdict.NotRun && r.executedAttempts > 0 {
-			err = e.WithVerdict(verdict.MayHaveRun)
+	if err != nil {
+		e := verdict.From(err)
+		if e.Verdict == verdict.NotRun && r.executedAttempts > 0 {
+			e = e.WithVerdict(verdict.MayHaveRun)
+		}
+		if ctx.Err() != nil && e.Verdict != verdict.NotRun {
+			e = verdict.Wrap(err, verdict.CodeCallerCancelled, verdict.MayHaveRun, "caller has gone")
 		}
-		r.responder.WriteError(err)
+		r.responder.WriteError(e)
+		err = e
 	}
 	r.logExchange(err)
 }
