--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -132,8 +132,13 @@
 func (b *chunkedReader) skipTrailer() error {
 	for remaining := maxTrailerBytes; remaining > 0; {
 		line, err := b.r.ReadSlice('\n')
-		if err != nil {
+		switch {
+		case err == io.EOF:
 			return io.ErrUnexpectedEOF
+		case err == bufio.ErrBufferFull:
+			return errors.Wrap(ErrMalformedBody, "trailer too large")
+		case err != nil:
+			return err
 		}
 		if len(line) <= 2 {
 			return io.EOF
