Repair the search for the successor of a silent attempt

A review of the failover, by one who had not seen the work, found with a test each:

- a race between a search and an attempt that ends by itself (fails with -race);
- endpoints that an exchange never returned to, so that it was held to its deadline although two sound ones were there;
- an attempt given up for an endpoint that left while the stages ran again.

The retry is taken first, endpoints are read after the stages, an exchange that must go on may return to endpoints, its stages fail three times at most, and an attempt's end waits for its search before anything is read.

--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -23,12 +23,14 @@
 	NoCapacity
 	// ConnectionFailed is a failed connection.
 	ConnectionFailed
+	// GivenUp is an exchange that this host gave up because the endpoint was silent.
+	GivenUp
 	// AddressReused is an address that now belongs to another endpoint.
 	AddressReused
 )
 
 // Done ends an exchange that Pick counted. load is nil if the endpoint reported
-// none. Done returns true after ConnectionFailed and AddressReused, and if the
+// none. Done returns true after ConnectionFailed, GivenUp and AddressReused, and if the
 // endpoint has just become suspect.
 func (b *Balancer) Done(e *catalog.Endpoint, o Outcome, load *port.EndpointLoad) bool {
 	b.mu.Lock()
@@ -53,7 +55,7 @@
 		return s.recordResponse(false, now)
 	case NoCapacity:
 		s.backoffUntil = now.Add(minBackoff / 4)
-	case ConnectionFailed, AddressReused:
+	case ConnectionFailed, AddressReused, GivenUp:
 		s.backoff = min(maxBackoff, max(minBackoff, 2*s.backoff))
 		s.backoffUntil = now.Add(s.backoff)
 		// The endpoint may have restarted before its registration says so.
--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,9 @@
 	// an exchange whose response has not begun then ends without a successor too, so that
 	// the caller can retry.
 	maxSilence = 4 * time.Second
+	// maxFailedPlans bounds the times that the stages of an exchange fail as they run
+	// again; the time between two of them doubles.
+	maxFailedPlans = 3
 )
 
 // Causes for which this host gives up an attempt.
@@ -44,6 +48,9 @@
 	// ctx is the context of the attempt; cancel gives the attempt up.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// wasUnreachable is set from the time at which the endpoint is found unreachable until
+	// it responds.
+	wasUnreachable atomic.Bool
 
 	mu sync.Mutex
 	// ended is set once the attempt has ended: no further search starts.
@@ -52,6 +59,8 @@
 	doubts    []doubt
 	searching bool
 	searches  sync.WaitGroup
+	// gaveUp is why a search gave the attempt up; nil if none did.
+	gaveUp error
 	// stops end what may start a search.
 	stops []func()
 }
@@ -62,8 +71,8 @@
 	holds func() bool
 }
 
-// watch returns the context of an attempt at the endpoint and its failover, which looks
-// for no successor if no other attempt may follow. The caller must call end.
+// watch returns the context of an attempt at the endpoint and its failover, which never
+// gives up the attempt at a request that may not be repeated. The caller must call end.
 func (r *exchangeRun) watch(parent context.Context, e *catalog.Endpoint) (context.Context, *failover) {
 	ctx, cancel := context.WithCancelCause(parent)
 	f := &failover{run: r, endpoint: e, ctx: ctx, cancel: cancel}
@@ -93,13 +102,30 @@
 	health := f.run.cfg.Health
 	reachable, release := health.WhileReachable(f.ctx, f.endpoint)
 	stop := context.AfterFunc(reachable, func() {
-		f.raise(doubt{errUnreachable, func() bool { return health.Unreachable(f.endpoint) }})
+		f.raise(doubt{errUnreachable, f.unreachable})
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stops = append(f.stops, func() { stop() }, release)
 }
 
+// unreachable reports whether the endpoint is unreachable, or was until its entry left
+// the snapshot: then nobody probes it any more, which is no sign of life.
+func (f *failover) unreachable() bool {
+	if f.run.cfg.Health.Unreachable(f.endpoint) {
+		f.wasUnreachable.Store(true)
+		return true
+	}
+	if f.wasUnreachable.Load() && f.isUsable() {
+		f.wasUnreachable.Store(false)
+	}
+	return f.wasUnreachable.Load()
+}
+
+func (f *failover) isUsable() bool {
+	return slices.ContainsFunc(f.run.cfg.Snapshot().Usable[f.endpoint.Service], func(e *catalog.Endpoint) bool { return e.Incarnation() == f.endpoint.Incarnation() })
+}
+
 // raise adds a doubt and starts a search for a successor unless one runs.
 func (f *failover) raise(d doubt) {
 	f.mu.Lock()
@@ -130,35 +156,42 @@
 // search looks for a successor until there is one and gives the attempt up then.
 func (f *failover) search() {
 	var unreachableSince time.Time
-	wasUnreachable := false
+	rewatch := false
 	for {
 		d, ok := f.currentDoubt()
 		if !ok {
 			break
 		}
 		if f.run.secureSuccessor(f.ctx, d.holds) {
-			f.cancel(d.cause)
+			f.giveUp(d.cause)
 			return
 		}
 		now := f.run.cfg.Clock.Now()
 		switch {
-		case !f.run.cfg.Health.Unreachable(f.endpoint):
+		case !f.unreachable():
 			unreachableSince = time.Time{}
 		case unreachableSince.IsZero():
-			unreachableSince, wasUnreachable = now, true
+			unreachableSince, rewatch = now, true
 		case now.Sub(unreachableSince) >= maxSilence && !f.run.streamStarted():
-			f.cancel(errUnreachable)
+			f.giveUp(errUnreachable)
 			return
 		}
 		port.Sleep(f.ctx, failoverInterval)
 	}
-	if wasUnreachable && f.ctx.Err() == nil {
+	if rewatch && f.ctx.Err() == nil {
 		f.watchReachability()
 	}
 }
 
-// end ends the watch and the context of the attempt, and waits for a search that runs.
-func (f *failover) end() {
+// giveUp ends the attempt. Only a search calls it.
+func (f *failover) giveUp(cause error) {
+	f.gaveUp = cause
+	f.cancel(cause)
+}
+
+// end ends the watch and the context of the attempt, and waits for a search that runs. It
+// returns why the attempt was given up, nil if it was not.
+func (f *failover) end() error {
 	f.mu.Lock()
 	f.ended = true
 	f.mu.Unlock()
@@ -167,28 +200,22 @@
 	for _, stop := range f.stops {
 		stop()
 	}
+	return f.gaveUp
 }
 
 // secureSuccessor makes the next attempt certain and reports whether it is. It runs
 // concurrently with the attempt, whose context is ctx, and does nothing once the attempt
 // is no longer doubted.
 func (r *exchangeRun) secureSuccessor(ctx context.Context, doubted func() bool) bool {
-	endpoints := r.eligibleEndpoints()
-	if !r.cfg.Balancer.CanPick(endpoints, r.criteria(r.currentResults().zone)) {
-		return false
-	}
-	if !r.resultsAvailable() && r.executeStages(ctx) != nil {
+	if r.executedAttempts+1 >= r.route.MaxAttempts || !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)) {
 		return false
 	}
-	if !r.takeRetry() || !doubted() {
+	if !r.takeRetry() || !r.resultsAvailable() && r.remakeResults(ctx) != nil || !doubted() {
 		return false
 	}
-	e := r.cfg.Balancer.Pick(endpoints, r.criteria(r.currentResults().zone))
-	if e == nil {
-		return false
-	}
-	r.retryTaken, r.successor = false, e
-	return true
+	// Endpoints may have left while the stages ran.
+	r.successor = r.cfg.Balancer.Pick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone))
+	return r.successor != nil
 }
 
 // takeRetry takes one retry from the service's budget, unless one is left of an attempt
@@ -201,7 +228,7 @@
 // nextEndpoint returns the endpoint of the next attempt, which the balancer counts as
 // sent to, once the results of the stages are available. lastErr is the error of the last
 // attempt; nil before the first one. The error is a *verdict.Error. An exchange that must
-// go on gets one only at the end of ctx.
+// go on gets one only at the end of ctx, or if its stages fail again and again.
 func (r *exchangeRun) nextEndpoint(ctx context.Context, lastErr error) (*catalog.Endpoint, error) {
 	for {
 		err := r.rerunStages(ctx, lastErr)
@@ -214,11 +241,14 @@
 				return e, nil
 			}
 			err = r.noEndpointError()
+			if r.mustGoOn {
+				clear(r.attempted) // an endpoint that refused once, or was silent, may do
+			}
 		}
-		if !r.mustGoOn || ctx.Err() != nil {
+		if !r.mustGoOn || r.failedPlans >= maxFailedPlans || ctx.Err() != nil {
 			return nil, err
 		}
-		port.Sleep(ctx, failoverInterval)
+		port.Sleep(ctx, failoverInterval<<r.failedPlans)
 	}
 }
 
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -113,8 +113,20 @@
 	if len(r.route.Stages) == 0 || r.resultsAvailable() && !inputMissing {
 		return nil
 	}
+	return r.remakeResults(ctx)
+}
+
+// remakeResults frees the results of the stages and runs the stages again.
+func (r *exchangeRun) remakeResults(ctx context.Context) error {
+	if r.failedPlans >= maxFailedPlans {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "stages failed again and again").WithRetryAfter(busyRetry)
+	}
 	r.freeResults()
-	return r.executeStages(ctx)
+	err := r.executeStages(ctx)
+	if err != nil && ctx.Err() == nil {
+		r.failedPlans++
+	}
+	return err
 }
 
 // attempt sends the exchange to one endpoint and records the outcome in the
@@ -122,7 +134,6 @@
 // whole response is forwarded to the caller; the error is a *verdict.Error.
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
 	ctx, failover := r.watch(parent, e)
-	defer failover.end()
 	r.attempts++
 	r.attempted[e.ID] = true
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
@@ -136,20 +147,17 @@
 		load = response.Load
 		return r.handleResponse(ctx, response, failover, startedAt)
 	})
+	r.record.gaveUp = failover.end()
+	r.mustGoOn = r.mustGoOn || r.successor != nil
 	if err != nil && verdict.Of(err) != verdict.NotRun {
 		r.executedAttempts++
 	}
-	r.record.cancelCause = nil
-	if parent.Err() == nil {
-		r.record.cancelCause = context.Cause(ctx)
-		r.mustGoOn = r.mustGoOn || r.successor != nil
-	}
 	outcome := r.classifyOutcome(parent, err)
-	if outcome == balance.ConnectionFailed {
+	if outcome == balance.ConnectionFailed || outcome == balance.GivenUp {
 		r.cfg.Health.RecordFailure(e)
-		if verdict.Of(err) != verdict.NotRun && r.record.cancelCause == nil {
-			r.cfg.CrashTracker.ReportCrash(r.exchange, e.ID)
-		}
+	}
+	if outcome == balance.ConnectionFailed && verdict.Of(err) != verdict.NotRun {
+		r.cfg.CrashTracker.ReportCrash(r.exchange, e.ID)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
 	return err
@@ -166,6 +174,8 @@
 	}
 	e := verdict.From(err)
 	switch {
+	case r.record.gaveUp != nil:
+		return balance.GivenUp
 	case e.Code == verdict.CodeNoCapacity:
 		return balance.NoCapacity
 	case errors.Is(err, errAddressReused):
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -24,8 +24,8 @@
 	// status is the HTTP status of the endpoint's response that is forwarded; 0 if
 	// none is.
 	status int
-	// cancelCause is why this host cancelled the last attempt; nil if it did not.
-	cancelCause error
+	// gaveUp is why this host gave up the last attempt; nil if it did not.
+	gaveUp error
 	// stagesTime is the time spent on executing stages, including reruns, and
 	// stageQueueWait the sum of the queue waits in it.
 	stagesTime     time.Duration
@@ -47,8 +47,8 @@
 		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.attempts), slog.Int("ran", r.executedAttempts),
 		slog.String("resume_from", r.stream.lastEventID), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
 		slog.Bool("left_alone", r.cfg.Balancer.Unavailable(e)), slog.Bool("repeats", willRetry)}
-	if r.record.cancelCause != nil {
-		attrs = append(attrs, slog.Any("cancelled_because", r.record.cancelCause))
+	if r.record.gaveUp != nil {
+		attrs = append(attrs, slog.Any("given_up_because", r.record.gaveUp))
 	}
 	if shared := r.sharedPromptParts(); len(shared) > 0 && verdict.Of(err) != verdict.NotRun {
 		attrs = append(attrs, slog.Any("prompt_parts", shared))
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -150,6 +150,8 @@
 	// mustGoOn is set once this host gave up an attempt for a successor: no refusal ends
 	// the exchange.
 	mustGoOn bool
+	// failedPlans counts the times that the stages failed as they ran again.
+	failedPlans int
 	// fallback is the newest server error (status 500 or above) of an endpoint; nil
 	// if there is none. It is forwarded if the exchange is abandoned.
 	fallback *bufferedResponse
