Don't retry for a caller that has gone, or blame its endpoint

A caller that closed its connection in the middle of a response made the write fail before the host noticed that it had gone. The attempt counted as a broken connection of the endpoint: more attempts were made, sound endpoints got a backoff and a probe, and the request was reported as one that crashes endpoints.

TestCallerThatHasGoneIsNoFailureOfTheEndpoint failed before: 3 attempts instead of 1.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -79,6 +79,9 @@
 // mayRetry reports whether the exchange may be sent once more after err. If so,
 // it takes one retry from the service's budget.
 func (r *exchangeRun) mayRetry(err error) bool {
+	if verdict.From(err).Code == verdict.CodeCallerCancelled {
+		return false
+	}
 	if verdict.Of(err) == verdict.NotRun {
 		if !r.mustGoOn && r.attempts-r.executedAttempts > maxRefusals {
 			return false
@@ -174,6 +177,8 @@
 	}
 	e := verdict.From(err)
 	switch {
+	case e.Code == verdict.CodeCallerCancelled:
+		return balance.Cancelled
 	case r.record.gaveUp != nil:
 		return balance.GivenUp
 	case e.Code == verdict.CodeNoCapacity:
