Don't take a caller that reads slowly for a silent endpoint

The time in which a write to the caller blocks counted as time without progress, so that a sound endpoint was given up, with a retry of the budget, because its caller paused.

TestSlowCallerIsNoStall failed before: 2 attempts instead of 1 for a pause of 2 s.

--- a/internal/exchange/failover_test.go
+++ b/internal/exchange/failover_test.go
@@ -110,3 +110,38 @@
 	h.monitor.Close()
 	is.True(c.finished)
 }
+
+// slowCaller is a caller that reads nothing for two seconds after the first event.
+type slowCaller struct {
+	soakCaller
+	paused bool
+}
+
+func (c *slowCaller) Write(p []byte) error {
+	if !c.paused {
+		c.paused = true
+		time.Sleep(2 * time.Second)
+	}
+	return c.soakCaller.Write(p)
+}
+
+// TestSlowCallerIsNoStall guards against sound endpoints that are given up, each with a
+// retry of the budget, because the caller takes its time.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) { r.Kind, r.Resumable = catalog.Stream, true })
+		h.forward = func(ctx context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+			next := 1
+			if r.ResumeFrom != "" {
+				next = 2
+			}
+			return read(&port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -1, Body: &soakBody{soak: h.soak, ctx: ctx, endpoint: r.Endpoint.ID, next: next}})
+		}
+		c := &slowCaller{}
+		h.exchange(c)
+		h.monitor.Close()
+		is.True(c.finished)
+		is.Equal(h.calls, 1)
+	})
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -67,8 +67,9 @@
 	var lastProgress atomic.Int64 // nanoseconds since startedAt
 	recordProgress := func() { lastProgress.Store(int64(r.cfg.Clock.Now().Sub(startedAt))) }
 	recordProgress()
+	var forwarding atomic.Bool // a caller that reads slowly is no silence of the endpoint
 	stall := failover.after(r.stallTimeout(), errStalled, func() bool {
-		return r.cfg.Clock.Now().Sub(startedAt)-time.Duration(lastProgress.Load()) >= r.stallTimeout()
+		return !forwarding.Load() && r.cfg.Clock.Now().Sub(startedAt)-time.Duration(lastProgress.Load()) >= r.stallTimeout()
 	})
 	defer stall.Stop()
 	var pending []byte
@@ -81,10 +82,12 @@
 		lastEnd := bytes.LastIndex(pending, eventEnd)
 		if lastEnd >= 0 {
 			events := pending[:lastEnd+len(eventEnd)]
+			forwarding.Store(true)
 			progressed, err := r.forwardEvents(ctx, response, events, startedAt)
 			if err != nil {
 				return err
 			}
+			forwarding.Store(false)
 			if progressed {
 				recordProgress()
 				stall.Reset(r.stallTimeout())
