Don't treat an endpoint as restarted because an attempt there was given up

A broken connection may mean that the endpoint has started anew, so it counts as cold for its warm-up time. An endpoint that was silent or slow has not, but got as little work for as long.

--- a/internal/core/balance/outcome.go
+++ b/internal/core/balance/outcome.go
@@ -58,8 +58,9 @@
 	case ConnectionFailed, AddressReused, GivenUp:
 		s.backoff = min(maxBackoff, max(minBackoff, 2*s.backoff))
 		s.backoffUntil = now.Add(s.backoff)
-		// The endpoint may have restarted before its registration says so.
-		if s.warmUpTime > 0 {
+		// The endpoint may have restarted before its registration says so. A silent one
+		// has not.
+		if s.warmUpTime > 0 && o != GivenUp {
 			s.extendCold(now, s.backoff+s.warmUpTime)
 		}
 		return true
--- a/internal/exchange/failover_test.go
+++ b/internal/exchange/failover_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -145,3 +146,36 @@
 		is.Equal(h.calls, 1)
 	})
 }
+
+// TestGivenUpEndpointHasNotRestarted guards against sound endpoints that count as cold for
+// their whole warm-up time because this host gave up a slow attempt at them.
+func TestGivenUpEndpointHasNotRestarted(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		h := newScriptedHost(2, ample, rand.NewPCG(1, 2), func(*catalog.Route) {})
+		service := &catalog.Service{Name: "pool", WarmUpRate: 1, WarmUpTime: 10 * time.Second}
+		for _, e := range h.usable() {
+			h.balancer.UpdateEndpoint(e, service, false)
+		}
+		var slow *catalog.Endpoint
+		h.forward = func(ctx context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+			if n == 1 {
+				slow = r.Endpoint
+				return silent(ctx)
+			}
+			return whole(read)
+		}
+		c := &soakCaller{}
+		h.exchange(c)
+		is.True(c.finished)
+		time.Sleep(time.Second) // the backoff is over
+		picked := 0
+		for range 5 {
+			if h.balancer.Pick([]*catalog.Endpoint{slow}, balance.Criteria{Service: service}) != nil {
+				picked++
+			}
+		}
+		h.monitor.Close()
+		is.Equal(picked, 5)
+	})
+}
