End a last attempt at an endpoint that stays unreachable

Only attempts that another one may follow were watched, so that the last one waited for the deadline at an endpoint that had long been dead, and the caller could not retry.

It ends after 4 s without a sign of life if the response has not begun, as the others do. TestLastAttemptAtADeadEndpointEnds failed before: 20 s, 4.7 s now.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -76,7 +76,7 @@
 func (r *exchangeRun) watch(parent context.Context, e *catalog.Endpoint) (context.Context, *failover) {
 	ctx, cancel := context.WithCancelCause(parent)
 	f := &failover{run: r, endpoint: e, ctx: ctx, cancel: cancel}
-	if !r.route.Repeatable() || r.executedAttempts+1 >= r.route.MaxAttempts {
+	if !r.route.Repeatable() {
 		f.ended = true
 		return ctx, f
 	}
--- a/internal/exchange/failover_test.go
+++ b/internal/exchange/failover_test.go
@@ -76,6 +76,28 @@
 	})
 }
 
+// TestLastAttemptAtADeadEndpointEnds guards against exchanges held to their deadline at an
+// endpoint that has been unreachable for long: only attempts that may be followed by
+// another one are watched.
+func TestLastAttemptAtADeadEndpointEnds(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) { r.MaxAttempts = 1 })
+		h.forward = func(ctx context.Context, _ int, r *port.EndpointRequest, _ func(*port.EndpointResponse) error) error {
+			h.mu.Lock()
+			h.endpoints[r.Endpoint.ID].silentUntil = time.Now().Add(time.Hour)
+			h.mu.Unlock()
+			h.monitor.RecordFailure(r.Endpoint)
+			return silent(ctx)
+		}
+		c := &soakCaller{}
+		took := h.exchange(c)
+		h.monitor.Close()
+		t.Logf("took %v, error %v", took, c.err)
+		is.True(took < 2*maxSilence)
+	})
+}
+
 // slowSource is a random source that has a pick take long, once slow is set.
 type slowSource struct {
 	rand.Source
