--- a/internal/core/poison/evidence.go
+++ b/internal/core/poison/evidence.go
@@ -16,6 +16,8 @@
 	// restoredAt is when the blame began that an entry in the store names, and
 	// restoredUntil how long it holds without other evidence; zero if there is none.
 	restoredAt, restoredUntil time.Time
+	// lapseDelay is added to the end of each blame at this host.
+	lapseDelay time.Duration
 	// learnedAt is when this host last learned something that others should know.
 	learnedAt time.Time
 
@@ -180,7 +182,7 @@
 	if e.crashes < threshold {
 		return
 	}
-	e.until = e.lastCrash.Add(blameTime(e.crashes - threshold))
+	e.until = e.lastCrash.Add(blameTime(e.crashes-threshold) + e.lapseDelay)
 	if e.restoredUntil.After(e.until) {
 		e.until = e.restoredUntil
 	}
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -23,6 +23,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -31,11 +33,14 @@
 	// requestThreshold and partThreshold are the numbers of crashes from which a whole
 	// request and a part are blamed.
 	requestThreshold = 3
-	partThreshold    = 3
+	partThreshold    = 4
 	// minBlameTime is how long a blame holds after the newest crash. It is four times
 	// as long for each crash beyond the threshold, up to maxBlameTime.
 	minBlameTime = 10 * time.Minute
 	maxBlameTime = 24 * time.Hour
+	// lapseSpread is the time over which the hosts let a blame lapse, so that the first
+	// of them learn, and tell the others, whether it still holds.
+	lapseSpread = 10 * time.Minute
 	// evidenceTTL is how long crashes too few for a blame are remembered after the
 	// newest one, and blamedRetention how long enough of them are after the blame.
 	evidenceTTL     = 10 * time.Minute
@@ -70,6 +75,9 @@
 
 // Config holds the dependencies of a Ledger.
 type Config struct {
+	// Host is this host's id. It selects when the host lets a blame lapse, within ten
+	// minutes from the first one that does; without it, the host is such a first one.
+	Host  string
 	Clock port.Clock
 	Log   *slog.Logger
 	// OnChange is called, without locks held, after this host learned something that
@@ -108,7 +116,7 @@
 	// Since is when the blame began at this host.
 	Since     time.Time
 	LastCrash time.Time
-	// Until is when the blame lapses unless there are further crashes.
+	// Until is when the blame lapses at this host unless there are further crashes.
 	Until time.Time
 }
 
@@ -268,12 +276,20 @@
 func (l *Ledger) evidenceOf(t Trait) *evidence {
 	e := l.traits[t]
 	if e == nil {
-		e = &evidence{services: make(map[string]*serviceEvidence)}
+		e = &evidence{services: make(map[string]*serviceEvidence), lapseDelay: l.lapseDelay(t)}
 		l.traits[t] = e
 	}
 	return e
 }
 
+// lapseDelay returns how long after the first hosts this one lets a trait's blame lapse.
+func (l *Ledger) lapseDelay(t Trait) time.Duration {
+	if l.cfg.Host == "" {
+		return 0
+	}
+	return time.Duration(xxhash.Sum64String(l.cfg.Host+"\x00"+string(t)) % uint64(lapseSpread))
+}
+
 // settle works out anew whether a trait is blamed, logs it if that has changed, with
 // the reason for an end, and removes evidence that is empty. l.mu must be held.
 func (l *Ledger) settle(t Trait, e *evidence, now time.Time, reason string) {
@@ -336,53 +352,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// evict removes the evidence of least weight, the oldest first, if there is too much
-// of it. Blamed traits are only removed if there are too many of these alone. l.mu must
-// be held.
-func (l *Ledger) evict(now time.Time) {
-	if len(l.traits) <= maxTraits {
-		return
-	}
-	ranked := l.ranked(func(*evidence) bool { return true })
-	for n := len(ranked); n > maxTraits-maxTraits/evictedShare; n-- {
-		last := ranked[n-1]
-		if last.blamed && n <= maxTraits {
-			return
-		}
-		if last.blamed {
-			l.cfg.Log.Warn("requests are no longer refused for crashes", slog.String("trait", string(last.trait)), slog.String("reason", "too many traits"),
-				slog.Int("crashes", last.crashes), slog.Duration("after", now.Sub(last.blamedSince).Round(time.Millisecond)))
-		}
-		l.recount(last.crashes > 0, last.blamed, false, false)
-		delete(l.traits, last.trait)
-	}
-}
-
-type rankedEvidence struct {
-	trait  Trait
-	weight int
-	*evidence
-}
-
-// ranked returns the evidence that is selected, the most important first: by weight,
-// parts before whole requests, of which there are many, and by when it was learned.
-// l.mu must be held.
-func (l *Ledger) ranked(selected func(e *evidence) bool) []rankedEvidence {
-	list := make([]rankedEvidence, 0, len(l.traits))
-	for t, e := range l.traits {
-		if selected(e) {
-			list = append(list, rankedEvidence{t, e.weight(), e})
-		}
-	}
-	slices.SortFunc(list, func(a, b rankedEvidence) int {
-		if order := cmp.Compare(b.weight, a.weight); order != 0 {
-			return order
-		}
-		if a.trait.isRequest() != b.trait.isRequest() {
-			return map[bool]int{true: 1, false: -1}[a.trait.isRequest()]
-		}
-		return cmp.Or(b.learnedAt.Compare(a.learnedAt), cmp.Compare(a.trait, b.trait))
-	})
-	return list
-}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -171,6 +171,21 @@
 	is.True(!isBlamed(l, badPart))
 }
 
+// Guards against hosts that all send crashing requests at once when a blame lapses.
+func TestHostsLetBlameLapseOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	ends := make(map[time.Duration]bool)
+	for i := range 50 {
+		l := poison.New(poison.Config{Host: fmt.Sprint("edge-", i), Clock: clock, Log: slog.New(slog.DiscardHandler)})
+		crash(l, 0, partThreshold, badPart)
+		end := l.Blames()[0].Until.Sub(clock.Now())
+		is.True(end >= 10*time.Minute && end < 20*time.Minute)
+		ends[end.Truncate(time.Minute)] = true
+	}
+	is.True(len(ends) >= 8)
+}
+
 // Guards against blames that only the store's end or a day's wait takes back.
 func TestLift(t *testing.T) {
 	is := is.New(t)
