Refuse requests with a part of their prompt that crashes endpoints

Hosts knew crashing requests only as a whole, no two of these are alike, so no count reached two; a single host added up, and what it refused was looked up on arrival only, not before a retry or after the stages.

Each host now enters crashes and whole responses into its ledger (core/poison) and sends the news to four others, so that all decide alike without the store or a host that adds up. What is blamed is refused at once, not run, with a time to come back of 30 s: on arrival and before each attempt. The store holds an entry for each blame, for hosts that start later; an operator lifts a blame there. A crash is a connection that a usable endpoint broke, at most 2 s into the response: not a response that the host does not accept, a planned end or a silence.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -10,9 +10,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -134,22 +132,12 @@
 	case context.Canceled:
 		return verdict.Wrap(err, verdict.CodeCallerCancelled, v, "call cancelled")
 	}
-	if sent > 0 && isConnectionLoss(err) {
+	if sent > 0 && port.IsConnectionLoss(err) {
 		err = &port.ConnectionLostError{Err: err}
 	}
 	return verdict.Wrap(err, verdict.CodeEndpointFailed, v, "endpoint failed")
 }
 
-// isConnectionLoss reports whether err means that the peer closed or reset the connection.
-func isConnectionLoss(err error) bool {
-	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, lost) {
-			return true
-		}
-	}
-	return false
-}
-
 // readAttemptResponse reads resp into result. It returns an error if resp
 // belongs to another attempt. After the error of an interrupted stream, result holds
 // the part received so far.
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -124,6 +124,9 @@
 // to do and callers needn't work out traits. It takes no lock.
 func (l *Ledger) Idle() bool { return l.suspectedCount.Load() == 0 }
 
+// BlamesAny reports whether any trait is blamed. It takes no lock.
+func (l *Ledger) BlamesAny() bool { return l.blamedCount.Load() > 0 }
+
 // Crashed records that an incarnation of an endpoint ended while it may have been
 // writing responses to requests with these traits. Several calls for one incarnation,
 // at this host and others, are one crash.
@@ -169,7 +172,7 @@
 
 // Blamed returns the blame of the first of the traits that is blamed.
 func (l *Ledger) Blamed(traits []Trait) (Blame, bool) {
-	if l.blamedCount.Load() == 0 {
+	if !l.BlamesAny() {
 		return Blame{}, false
 	}
 	now := l.cfg.Clock.Now()
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -1,47 +1,45 @@
-// Package crashing keeps a request that crashes endpoints from reaching more of
-// them. Each host reports the crashes that it detects to the first candidate for
-// the coordinator that accepts the report. When a request has crashed
-// crashThreshold endpoints within crashTTL, the host that received the reports
-// writes an entry for the request to the store, and all hosts refuse the request
-// until the entry expires.
+// Package crashing keeps requests that crash endpoints from reaching more of them. Each
+// host enters what its own requests show into a ledger (core/poison), hosts tell each
+// other the evidence, and each refuses by itself what its ledger blames. The store holds
+// an entry for each blame, for hosts that start later; without it all else goes on.
 package crashing
 
 import (
 	"context"
 	"log/slog"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
-	"github.com/pimentorill/pimentorill/internal/core/suspect"
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/membership"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 const (
-	// crashThreshold is the number of crashed endpoints from which a request is
-	// refused. A lower one would refuse harmless requests that happened to run on
-	// endpoints that crashed.
-	crashThreshold = 3
-	// crashTTL is how long a crash counts towards crashThreshold.
-	crashTTL = time.Minute
-	// refusalTTL is how long a request is refused: the TTL of the lease of its entry
-	// in the store.
-	refusalTTL = 2 * time.Minute
-	// pruneThreshold is the number of tracked requests from which those without a
-	// crash within crashTTL are pruned. It does not bound the tracked requests.
-	pruneThreshold = 4096
-	// reportTimeout bounds a report to one host, and writeTimeout the two store calls
-	// that write an entry.
-	reportTimeout = time.Second
-	writeTimeout  = 2 * time.Second
-	// kindCrashReport is the kind of peer requests that carry a crashReport.
-	kindCrashReport = "crash"
-	// refusalKeyPrefix is the prefix of the entries' keys, which end with the
-	// fingerprint. It follows the prefix of pimentorill's own keys in the store.
-	refusalKeyPrefix = "crashing/"
+	// refusalRetry is the retry-after time of refused requests. A caller that comes back
+	// within it is refused again, unless a response or an operator has cleared the
+	// request meanwhile.
+	refusalRetry = 30 * time.Second
+	// neighbors is the number of other hosts to which a host sends news.
+	neighbors = 4
+	// batchDelay is the time in which news are gathered for one message: the requests at
+	// an endpoint end together.
+	batchDelay = 50 * time.Millisecond
+	// exchangeInterval is the time between two exchanges of all evidence with one of the
+	// neighbors, for news that were lost.
+	exchangeInterval = time.Second
+	// messageTimeout bounds a message to another host.
+	messageTimeout = 400 * time.Millisecond
+
+	// kindEvidence is the kind of peer requests that carry a message; the response is
+	// one too.
+	kindEvidence = "crash.evidence"
 )
 
 // Peers connects to the other hosts. *peering.Group implements it.
@@ -49,6 +47,8 @@
 	// Candidates returns the ids of the candidates for the coordinator in order of
 	// preference.
 	Candidates() []string
+	// Others returns the ids of the other known hosts that respond.
+	Others() []string
 	// Self returns this host's id.
 	Self() string
 	// Ask sends a request to another host and returns its response.
@@ -57,149 +57,160 @@
 	Handle(kind string, fn port.RequestHandler)
 }
 
-// Tracker tracks which requests crashed which endpoints. It is safe for concurrent
-// use.
-type Tracker struct {
-	peers     Peers
-	store     port.WatchableStore
-	keyPrefix string
-	clock     port.Clock
-	log       *slog.Logger
-
-	mu       sync.Mutex
-	requests map[suspect.Fingerprint]*trackedRequest
+// Config holds the dependencies of a Guard.
+type Config struct {
+	Peers Peers
+	Store port.WatchableStore
+	// KeyPrefix is the prefix of pimentorill's own keys in the store.
+	KeyPrefix string
+	// Snapshot returns the newest snapshot, never nil.
+	Snapshot func() *facts.Snapshot
+	Clock    port.Clock
+	Log      *slog.Logger
+	// Metrics may be nil; then no metrics are recorded.
+	Metrics tally.Scope
 }
 
-// trackedRequest holds the crashes of one request.
-type trackedRequest struct {
-	// crashedAt holds when the request last crashed each endpoint, by endpoint id.
-	crashedAt map[string]time.Time
-	// refused is set before the entry that refuses the request is written, and reset
-	// only if that fails. It stays set once the entry has expired.
-	refused bool
+// Guard refuses requests that crash endpoints. It is safe for concurrent use.
+type Guard struct {
+	cfg    Config
+	ledger *poison.Ledger
+	// changed holds an item while the ledger has news.
+	changed chan struct{}
+	entries entries
 }
 
-// crashReport is the message that reports a crash to another host.
-type crashReport struct {
-	Fingerprint suspect.Fingerprint `cbor:"1,keyasint"`
-	Endpoint    string              `cbor:"2,keyasint"`
+// message carries evidence between hosts.
+type message struct {
+	Reports []poison.Report `cbor:"1,keyasint,omitempty"`
+	// All asks for all evidence in the response, not only for news.
+	All bool `cbor:"2,keyasint,omitempty"`
 }
 
-// New returns a Tracker without crashes and registers its handler for the reports
-// of other hosts with peers. keyPrefix is the prefix of pimentorill's own keys in
-// the store.
-func New(peers Peers, store port.WatchableStore, keyPrefix string, clock port.Clock, log *slog.Logger) *Tracker {
-	t := &Tracker{peers: peers, store: store, keyPrefix: keyPrefix, clock: clock, log: log, requests: make(map[suspect.Fingerprint]*trackedRequest)}
-	peers.Handle(kindCrashReport, func(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
-		var c crashReport
-		if err := cbor.Unmarshal(payload, &c); err != nil {
-			return nil, errors.Wrap(err, "decode crash report")
+// New returns a Guard without evidence and registers its handler for the messages of
+// other hosts with cfg.Peers. Run spreads evidence.
+func New(cfg Config) *Guard {
+	g := &Guard{cfg: cfg, changed: make(chan struct{}, 1), entries: newEntries()}
+	g.ledger = poison.New(poison.Config{Clock: cfg.Clock, Log: cfg.Log, OnChange: func() {
+		select {
+		case g.changed <- struct{}{}:
+		default:
 		}
-		t.recordCrash(c)
-		return []byte{1}, nil
-	})
-	return t
+	}})
+	cfg.Peers.Handle(kindEvidence, g.handleMessage)
+	return g
 }
 
-// Fingerprint returns the fingerprint of an exchange's API key, host, target and
-// body.
-func Fingerprint(x *port.Exchange) suspect.Fingerprint {
-	return suspect.NewFingerprint(x.APIKey, x.Host+x.Target, x.Body)
+// Check returns a *verdict.Error with CodeQuarantined and NotRun if the exchange is not to
+// be sent to an endpoint, nil otherwise. Call it before each attempt: what the ledger
+// blames changes while exchanges wait.
+func (g *Guard) Check(x *port.Exchange) error {
+	if !g.ledger.BlamesAny() {
+		return nil
+	}
+	blame, blamed := g.ledger.Blamed(poison.Traits(x))
+	if !blamed {
+		return nil
+	}
+	g.count("crash_refusals_total")
+	return verdict.Wrap(errors.Errorf("%s crashed %d endpoints", blame.Trait, blame.Crashes), verdict.CodeQuarantined, verdict.NotRun,
+		"requests like this one crash endpoints").WithRetryAfter(refusalRetry)
 }
 
-// RefusedFingerprint returns the fingerprint in the store key of an entry that
-// refuses a request, as text, and reports whether the key is one of such an entry.
-func RefusedFingerprint(key string) (string, bool) {
-	_, fingerprint, ok := strings.Cut(key, refusalKeyPrefix)
-	return fingerprint, ok
+// ReportCrash records that an endpoint ended while it may have been writing a response to
+// the exchange. An endpoint that is draining or gone from the newest snapshot has ended as
+// planned and is left out.
+func (g *Guard) ReportCrash(x *port.Exchange, e *catalog.Endpoint) {
+	for _, usable := range g.cfg.Snapshot().Usable[e.Service] {
+		if usable.Incarnation() == e.Incarnation() {
+			g.count("crash_reports_total")
+			g.ledger.Crashed(e, poison.Traits(x))
+			return
+		}
+	}
 }
 
-// ReportCrash reports that the connection to an endpoint broke while the endpoint
-// may have run the exchange. It returns at once; the report is sent to the
-// candidates in turn until one accepts it, and is lost if none does.
-func (t *Tracker) ReportCrash(x *port.Exchange, endpoint string) {
-	c := crashReport{Fingerprint(x), endpoint}
-	go func() {
-		for _, host := range t.peers.Candidates() {
-			if host == t.peers.Self() {
-				t.recordCrash(c)
-				return
-			}
-			payload, err := cbor.Marshal(c)
-			if err != nil {
-				t.log.Error("crash report to other hosts not encoded", slog.Any("error", err))
-				return
-			}
-			ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
-			_, err = t.peers.Ask(ctx, host, kindCrashReport, payload)
-			cancel()
-			if err == nil {
-				return
+// ReportResponse records that an endpoint of the service sent a whole successful response
+// to the exchange.
+func (g *Guard) ReportResponse(x *port.Exchange, service string) {
+	if !g.ledger.Idle() {
+		g.ledger.Completed(service, poison.Traits(x))
+	}
+}
+
+// Run spreads evidence and records blames in the store until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	joined := false
+	for round := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.changed:
+			port.Sleep(ctx, batchDelay)
+			g.spread(ctx, message{Reports: g.ledger.Reports(true)}, g.neighbors())
+		case <-ticker.C:
+			round++
+			m := message{Reports: g.ledger.Reports(false), All: true}
+			near := g.neighbors()
+			if len(near) > 0 && (len(m.Reports) > 0 || !joined) {
+				// A host that has just started asks for what the others know.
+				joined = true
+				g.spread(ctx, m, near[round%len(near):][:1])
 			}
 		}
-	}()
+		g.recordBlames(ctx)
+	}
 }
 
-// recordCrash records a crash that this host or another one reported, and has the
-// request refused once crashThreshold is reached.
-func (t *Tracker) recordCrash(c crashReport) {
-	now := t.clock.Now()
-	t.mu.Lock()
-	request := t.requests[c.Fingerprint]
-	if request == nil {
-		if len(t.requests) >= pruneThreshold {
-			t.pruneWithoutRecentCrash(now)
-		}
-		request = &trackedRequest{crashedAt: make(map[string]time.Time)}
-		t.requests[c.Fingerprint] = request
+// neighbors returns the other hosts to which this one sends news: the same ones as long
+// as they respond, so that few connections are in use.
+func (g *Guard) neighbors() []string {
+	return membership.SelectByRendezvous(g.cfg.Peers.Others(), g.cfg.Peers.Self(), neighbors)
+}
+
+// spread sends a message to hosts and merges their responses, without waiting for them.
+func (g *Guard) spread(ctx context.Context, m message, hosts []string) {
+	if len(m.Reports) == 0 && !m.All {
+		return
 	}
-	request.crashedAt[c.Endpoint] = now
-	for e, at := range request.crashedAt {
-		if now.Sub(at) > crashTTL {
-			delete(request.crashedAt, e)
-		}
+	payload, err := cbor.Marshal(m)
+	if err != nil {
+		g.cfg.Log.Error("evidence of crashes can't be encoded", slog.Any("error", err))
+		return
 	}
-	refuse := len(request.crashedAt) >= crashThreshold && !request.refused
-	request.refused = request.refused || refuse
-	t.mu.Unlock()
-	if refuse {
-		t.refuseRequest(c.Fingerprint)
+	for _, host := range hosts {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+			defer cancel()
+			if response, err := g.cfg.Peers.Ask(ctx, host, kindEvidence, payload); err == nil {
+				_, _ = g.merge(response)
+			}
+		}()
 	}
 }
 
-// pruneWithoutRecentCrash removes the requests without a crash within crashTTL.
-// t.mu must be held.
-func (t *Tracker) pruneWithoutRecentCrash(now time.Time) {
-	for fingerprint, request := range t.requests {
-		recent := false
-		for _, at := range request.crashedAt {
-			recent = recent || now.Sub(at) <= crashTTL
-		}
-		if !recent {
-			delete(t.requests, fingerprint)
-		}
+// merge adds the evidence in a message of another host to the ledger.
+func (g *Guard) merge(payload []byte) (message, error) {
+	var m message
+	if err := cbor.Unmarshal(payload, &m); err != nil {
+		return m, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "evidence of crashes can't be read")
 	}
+	g.ledger.Merge(m.Reports)
+	return m, nil
 }
 
-// refuseRequest starts to write the entry that makes all hosts refuse the request,
-// and returns without waiting for the store. If the write fails, the next crash of
-// the request starts another one.
-func (t *Tracker) refuseRequest(fingerprint suspect.Fingerprint) {
-	t.log.Warn("request crashes endpoints and is refused", slog.String("fingerprint", fingerprint.String()))
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-		defer cancel()
-		lease, err := t.store.GrantLease(ctx, refusalTTL)
-		if err == nil {
-			_, err = t.store.CompareAndSwap(ctx, t.keyPrefix+refusalKeyPrefix+fingerprint.String(), []byte("{}"), 0, lease)
-		}
-		if err != nil && !errors.Is(err, port.ErrConflict) {
-			t.log.Warn("refusal not written to the store", slog.String("fingerprint", fingerprint.String()), slog.Any("error", err))
-			t.mu.Lock()
-			if request := t.requests[fingerprint]; request != nil {
-				request.refused = false
-			}
-			t.mu.Unlock()
-		}
-	}()
+func (g *Guard) handleMessage(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+	m, err := g.merge(payload)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(message{Reports: g.ledger.Reports(!m.All)})
+}
+
+func (g *Guard) count(name string) {
+	if g.cfg.Metrics != nil {
+		g.cfg.Metrics.Counter(name).Inc(1)
+	}
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -95,6 +95,7 @@
 	callerServer CallerServer
 	group        *peering.Group
 	origins      *origins.Registry
+	crashes      *crashing.Guard
 	metrics      *metrics.Metrics
 	// startedUnixMs is the start of this host in Unix milliseconds.
 	startedUnixMs int64
@@ -140,13 +141,14 @@
 	n.group = group
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
-		RefusedFingerprint: crashing.RefusedFingerprint, FetchFromPeer: sharing.fetchFromPeer})
+		CrashEntryName: crashing.EntryName, FetchFromPeer: sharing.fetchFromPeer})
 	sharing.handleRequests(n.replica)
 	n.origins = origins.New(origins.Config{Peers: group, Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
+	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: p.Endpoints, Health: n.health, RateLimits: n.rateLimits, LookupService: n.stageService,
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: p.Endpoints,
-		Stages: n.stages, CrashTracker: crashing.New(group, p.Store, p.KeyPrefix, clock, log), Health: n.health, Clock: clock, Rand: newRand(), Log: log,
+		Stages: n.stages, Crashes: n.crashes, Health: n.health, Clock: clock, Rand: newRand(), Log: log,
 		MaxHeldBytes: s.MemoryBytes / heldMemoryDivisor, RateLimits: n.rateLimits, Origins: n.origins, Regions: s.Regions, Metrics: n.metrics.Scope})
 	if n.callerServer, err = p.Listen(n.server); err != nil {
 		cancel()
@@ -160,6 +162,7 @@
 	n.startTask(ctx, n.replica.Run)
 	n.startTask(ctx, group.Run)
 	n.startTask(ctx, n.stages.Run)
+	n.startTask(ctx, n.crashes.Run)
 	n.startTask(ctx, n.watchIsolation)
 	n.startTask(ctx, n.overload.Run)
 	n.serveMetrics(ctx)
@@ -253,6 +256,7 @@
 func (n *Node) SnapshotPublished(s *facts.Snapshot) {
 	n.divideLimits(s.Hosts, time.Now())
 	n.origins.Observe(s)
+	n.crashes.Observe(s)
 	known := func(i catalog.Incarnation) bool { return s.Incarnations[i] }
 	n.balancer.Prune(known)
 	n.rateLimits.Prune(known)
--- a/internal/exchange/body_test.go
+++ b/internal/exchange/body_test.go
@@ -33,7 +33,7 @@
 // newBodyRun returns the run of an exchange of a route, with a budget for bodies.
 func newBodyRun(route *catalog.Route, budget int64) (*exchangeRun, *recorder) {
 	out := &recorder{}
-	return &exchangeRun{Server: &Server{bodies: newBodyBudget(budget)}, route: route, responder: out}, out
+	return &exchangeRun{Server: &Server{cfg: Config{Clock: port.SystemClock{}}, bodies: newBodyBudget(budget)}, route: route, responder: out}, out
 }
 
 func testBody(n int) []byte {
--- a/internal/exchange/callergone_test.go
+++ b/internal/exchange/callergone_test.go
@@ -36,9 +36,9 @@
 		}
 		synctest.Wait()
 		h.monitor.Close()
-		t.Logf("%d attempts, %d endpoints in backoff, %d refusals of the request", h.calls, failed, h.refusals.Load())
+		t.Logf("%d attempts, %d endpoints in backoff, %d crash reports", h.calls, failed, h.crashReports())
 		is.Equal(h.calls, 1)
 		is.Equal(failed, 0)
-		is.Equal(h.refusals.Load(), int64(0))
+		is.Equal(h.crashReports(), int64(0))
 	})
 }
--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -207,6 +207,9 @@
 // concurrently with the attempt, whose context is ctx, and does nothing once the attempt
 // is no longer doubted.
 func (r *exchangeRun) secureSuccessor(ctx context.Context, doubted func() bool) bool {
+	if r.cfg.Crashes.Check(r.exchange) != nil {
+		return false
+	}
 	if r.executedAttempts+1 >= r.route.MaxAttempts || !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)) {
 		return false
 	}
@@ -231,8 +234,14 @@
 // go on gets one only at the end of ctx, or if its stages fail again and again.
 func (r *exchangeRun) nextEndpoint(ctx context.Context, lastErr error) (*catalog.Endpoint, error) {
 	for {
+		if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+			return nil, err
+		}
 		err := r.rerunStages(ctx, lastErr)
 		if err == nil {
+			if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+				return nil, err
+			}
 			lastErr = nil
 			if e := r.takeSuccessor(); e != nil {
 				return e, nil
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -21,6 +21,10 @@
 	attemptTimeoutTargets = 2.5
 	// minAttemptTimeout is the lower bound of the time that attemptTimeoutTargets yields.
 	minAttemptTimeout = 250 * time.Millisecond
+	// maxCrashDelay is the time from the beginning of a response after which the request
+	// is no longer taken for the cause of a crash: those that crash endpoints do so as
+	// the response begins.
+	maxCrashDelay = 2 * time.Second
 	// leastUrgentPriority is the least urgent priority that an endpoint accepts;
 	// 0 is the most urgent.
 	leastUrgentPriority = 9
@@ -133,12 +137,13 @@
 }
 
 // attempt sends the exchange to one endpoint and records the outcome in the
-// balancer, the health monitor and the crash tracker. It returns nil once the
+// balancer, the health monitor and the guard against crashes. It returns nil once the
 // whole response is forwarded to the caller; the error is a *verdict.Error.
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
 	ctx, failover := r.watch(parent, e)
 	r.attempts++
 	r.attempted[e.ID] = true
+	r.respondingSince = time.Time{}
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
@@ -159,13 +164,26 @@
 	if outcome == balance.ConnectionFailed || outcome == balance.GivenUp {
 		r.cfg.Health.RecordFailure(e)
 	}
-	if outcome == balance.ConnectionFailed && verdict.Of(err) != verdict.NotRun {
-		r.cfg.CrashTracker.ReportCrash(r.exchange, e.ID)
+	switch {
+	case err == nil && isSuccess(r.record.status):
+		r.cfg.Crashes.ReportResponse(r.exchange, e.Service)
+	case outcome == balance.ConnectionFailed && r.mayHaveCrashed(err):
+		r.cfg.Crashes.ReportCrash(r.exchange, e)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
 	return err
 }
 
+// mayHaveCrashed reports whether err, the error of the last attempt, is what a crash of the
+// endpoint looks like that the exchange may have caused: the endpoint broke the
+// connection, and the exchange had not been receiving its response for long.
+func (r *exchangeRun) mayHaveCrashed(err error) bool {
+	if verdict.Of(err) == verdict.NotRun || !port.IsConnectionLoss(err) {
+		return false
+	}
+	return r.respondingSince.IsZero() || r.cfg.Clock.Now().Sub(r.respondingSince) <= maxCrashDelay
+}
+
 // classifyOutcome returns the outcome of an attempt for the balancer. parent is
 // the context of the exchange, which giving the attempt up does not end.
 func (r *exchangeRun) classifyOutcome(parent context.Context, err error) balance.Outcome {
@@ -199,6 +217,7 @@
 // a repeatable request in r.fallback instead and returns an error. startedAt is
 // when the attempt started.
 func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
+	r.respondingSince = r.cfg.Clock.Now()
 	switch {
 	case response.NotRun:
 		return refusalError(response)
--- a/internal/exchange/scripted_test.go
+++ b/internal/exchange/scripted_test.go
@@ -13,7 +13,6 @@
 	"github.com/pimentorill/pimentorill/internal/core/quota"
 	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
-	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
@@ -26,6 +25,8 @@
 	// forward replaces the soak's Forward. n counts the calls from 1.
 	forward func(ctx context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error
 	calls   int
+	// prompt is that of the requests.
+	prompt []port.PromptPart
 	// runPieces replaces the soak's RunPieces; the endpoint "p0" of the service "prep" is
 	// the only one of stages.
 	runPieces func(pieces []port.Piece) []port.PieceResult
@@ -96,8 +97,8 @@
 	h.dispatcher = stagework.NewDispatcher(stagework.Config{Peers: none{}, Zone: "kranj", Endpoints: h, Health: h.monitor, RateLimits: limits, LookupService: prep,
 		StageEndpoints: func() []*catalog.Endpoint { _, e := prep(""); return e }, Overloaded: func() bool { return false }, Clock: clock, Log: log})
 	h.server = New(Config{Snapshot: h.current, Balancer: h.balancer, RetryBudgets: h.budgets, RateLimits: limits, Endpoints: h, Health: h.monitor, Origins: h.origins,
-		Stages:       h.dispatcher,
-		CrashTracker: crashing.New(none{}, storeAway{refusals: &h.refusals}, "", clock, log), Clock: clock, Rand: rand.New(rand.NewPCG(1, 3)), Log: log})
+		Stages:  h.dispatcher,
+		Crashes: h.crashes, Clock: clock, Rand: rand.New(rand.NewPCG(1, 3)), Log: log})
 	route := &catalog.Route{Name: "x", Prefix: "/x/", Host: "api.example", Public: true, Kind: catalog.Idempotent, MaxAttempts: 3, Timeout: 20 * time.Second,
 		TargetLatency: 150 * time.Millisecond, TargetEventGap: 400 * time.Millisecond, TrafficSplit: []catalog.WeightedService{{Service: "pool", Weight: 1}}}
 	adjust(route)
@@ -113,7 +114,7 @@
 // exchange sends a request and returns what the caller got and after which time.
 func (h *scriptedHost) exchange(out port.Responder) time.Duration {
 	start := time.Now()
-	h.server.Exchange(context.Background(), &port.Exchange{ID: "r1", Method: "POST", Host: "api.example", Path: "/x/1", Target: "/x/1", ReceivedAt: start, PieceCounts: []int{2}, PieceKey: "k"}, out)
+	h.server.Exchange(context.Background(), &port.Exchange{ID: "r1", Method: "POST", Host: "api.example", Path: "/x/1", Target: "/x/1", ReceivedAt: start, PieceCounts: []int{2}, PieceKey: "k", Prompt: h.prompt}, out)
 	return time.Since(start)
 }
 
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -53,7 +53,7 @@
 	RateLimits   *ratelimit.Limiter
 	Endpoints    port.EndpointClient
 	Stages       *stagework.Dispatcher
-	CrashTracker *crashing.Tracker
+	Crashes      *crashing.Guard
 	Health       *health.Monitor
 	Origins      *origins.Registry
 	// Regions maps each zone to its region.
@@ -157,6 +157,9 @@
 	fallback *bufferedResponse
 	// heldBytes is what the exchange has taken of the budget for bodies.
 	heldBytes int64
+	// respondingSince is when the endpoint of the last attempt began to respond; zero if
+	// it has not.
+	respondingSince time.Time
 	// responseStarted is set once the header of a response that is no stream is sent
 	// before its body is complete.
 	responseStarted bool
@@ -209,8 +212,8 @@
 	if r.service == nil {
 		return verdict.New(verdict.CodeNotReady, verdict.NotRun, "service is not known").WithRetryAfter(notReadyRetry)
 	}
-	if len(r.snapshot.RefusedFingerprints) > 0 && r.snapshot.RefusedFingerprints[crashing.Fingerprint(r.exchange).String()] {
-		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "request crashed several endpoints")
+	if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+		return err
 	}
 	r.deadline = r.exchange.ReceivedAt.Add(effectiveTimeout(r.route.Timeout, r.exchange.CallerTimeout))
 	return nil
--- a/internal/exchange/soak_test.go
+++ b/internal/exchange/soak_test.go
@@ -11,12 +11,12 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -46,6 +46,8 @@
 type soak struct {
 	rng      *rand.Rand
 	server   *Server
+	crashes  *crashing.Guard
+	metrics  tally.TestScope
 	monitor  *health.Monitor
 	origins  *origins.Registry
 	requests sync.WaitGroup
@@ -58,9 +60,7 @@
 	// run to its end.
 	brokenOff map[string]bool
 	failures  []string
-	// refusals counts the requests taken for ones that crash endpoints.
-	refusals atomic.Int64
-	outcomes map[string]int
+	outcomes  map[string]int
 }
 
 // soakEndpoint is an endpoint. It neither reads nor writes while it is silent.
@@ -70,6 +70,14 @@
 	gone        bool
 }
 
+// crashReports returns the number of crashes of endpoints that the host has reported.
+func (s *soak) crashReports() int64 {
+	if c := s.metrics.Snapshot().Counters()["crash_reports_total+"]; c != nil {
+		return c.Value()
+	}
+	return 0
+}
+
 // none implements the connections to other hosts, of which there are none.
 type none struct{}
 
@@ -86,18 +94,6 @@
 	return nil, verdict.New(verdict.CodeNotReady, verdict.NotRun, "no other host")
 }
 
-// storeAway is a store that can't be reached. It counts the attempts to write an entry that
-// has a request refused.
-type storeAway struct {
-	port.WatchableStore
-	refusals *atomic.Int64
-}
-
-func (s storeAway) GrantLease(context.Context, time.Duration) (port.Lease, error) {
-	s.refusals.Add(1)
-	return port.Lease{}, port.ErrUncertain
-}
-
 // newSoak returns a host whose retry budget is drawn with the seed.
 func newSoak(seed uint64) *soak {
 	s := &soak{rng: rand.New(rand.NewPCG(seed, 1)), endpoints: make(map[string]*soakEndpoint), brokenOff: make(map[string]bool), outcomes: make(map[string]int), snapshot: &facts.Snapshot{}}
@@ -110,10 +106,12 @@
 	budget := quota.RetryLimit{Ratio: []float64{0, 0.02, 0.2}[s.rng.IntN(3)], Slack: float64(s.rng.IntN(4)), Window: 10 * time.Second}
 	s.monitor = health.New(health.Config{Client: s, UsableEndpoints: s.usable, OnChange: func() {}, Clock: clock, Log: log})
 	s.origins = origins.New(origins.Config{Peers: none{}, Snapshot: s.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log})
+	s.metrics = tally.NewTestScope("", nil)
+	s.crashes = crashing.New(crashing.Config{Peers: none{}, Snapshot: s.current, Clock: clock, Log: log, Metrics: s.metrics})
 	s.server = New(Config{Snapshot: s.current, Balancer: balance.New("edge-0", "kranj", clock, rand.New(rand.NewPCG(seed, 2)), balance.ColdSendLimit{}, limits),
 		RetryBudgets: quota.NewRetryBudgets(budget, clock), RateLimits: limits, Endpoints: s, Health: s.monitor, Origins: s.origins,
-		Stages:       stagework.NewDispatcher(stagework.Config{Peers: none{}, Endpoints: s, Health: s.monitor, RateLimits: limits, Clock: clock, Log: log}),
-		CrashTracker: crashing.New(none{}, storeAway{refusals: &s.refusals}, "", clock, log), Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
+		Stages:  stagework.NewDispatcher(stagework.Config{Peers: none{}, Endpoints: s, Health: s.monitor, RateLimits: limits, Clock: clock, Log: log}),
+		Crashes: s.crashes, Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
 	s.configure()
 	return s
 }
@@ -418,7 +416,7 @@
 		s.requests.Wait()
 		s.monitor.Close()
 	})
-	is.Equal(s.refusals.Load(), int64(0))
+	is.Equal(s.crashReports(), int64(0))
 }
 
 // TestSilentEndpointsCutNoResponse guards against responses that end because a sound
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -94,9 +94,9 @@
 	EvacuatedZones map[string]bool
 	// Hosts holds the registered hosts by id.
 	Hosts map[string]Host
-	// RefusedFingerprints holds the fingerprints of requests that are refused
-	// because they crash endpoints.
-	RefusedFingerprints map[string]bool
+	// CrashEntries holds the values of the entries of what in requests crashes
+	// endpoints, by name.
+	CrashEntries map[string]string
 	// ConfirmedAt is when the store last confirmed, to this host or to the one whose
 	// state this host fetched, that this state was the newest. It is zero until a
 	// state is known.
@@ -148,10 +148,9 @@
 	Observer Observer
 	Clock    port.Clock
 	Log      *slog.Logger
-	// RefusedFingerprint returns the fingerprint whose requests are refused while
-	// the key exists; ok is false for all other keys. The function is nil if there
-	// are no such keys.
-	RefusedFingerprint func(key string) (fingerprint string, ok bool)
+	// CrashEntryName returns the name of an entry of what in requests crashes endpoints,
+	// and reports whether the key is one of such an entry. It may be nil.
+	CrashEntryName func(key string) (name string, ok bool)
 	// FetchFromPeer may be nil; then no state is fetched from other hosts.
 	FetchFromPeer PeerFetcher
 }
--- a/internal/facts/fakes_test.go
+++ b/internal/facts/fakes_test.go
@@ -233,7 +233,7 @@
 // fingerprint X.
 func testConfig() Config {
 	return Config{Decoder: testDecoder{}, Observer: &recordingObserver{}, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler),
-		RefusedFingerprint: func(key string) (string, bool) { return strings.CutPrefix(key, "refuse/") }}
+		CrashEntryName: func(key string) (string, bool) { return strings.CutPrefix(key, "refuse/") }}
 }
 
 // testConfigWith returns testConfig with a store.
--- a/internal/facts/restore_test.go
+++ b/internal/facts/restore_test.go
@@ -243,12 +243,13 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	apply(now, port.StorePosition{Revision: 5}, port.KeyValue{Key: "refuse/x", Revision: 5})
-	is.True(s.refusedFingerprints["x"])
+	holdsEntry := func() bool { _, ok := s.crashEntries["x"]; return ok }
+	is.True(holdsEntry())
 	apply(now, port.StorePosition{Epoch: 1, Revision: 4})
 	s.applyExpired(cfg, now.Add(refusalRetention-time.Second))
-	is.True(s.refusedFingerprints["x"])
+	is.True(holdsEntry())
 	s.applyExpired(cfg, now.Add(refusalRetention))
-	is.True(!s.refusedFingerprints["x"])
+	is.True(!holdsEntry())
 }
 
 // Guards against hosts that forget each other until all have registered again.
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -33,8 +33,8 @@
 	undecodable map[string]bool
 	// removals holds, by key, when each item that the store has lost, in an outage or a
 	// restore, is removed unless it is written again.
-	removals            map[string]time.Time
-	refusedFingerprints map[string]bool
+	removals     map[string]time.Time
+	crashEntries map[string]string
 	// tombstones holds the items removed of late, and heldBack those that a restored
 	// store holds although they had been removed; both by key.
 	tombstones map[string]tombstone
@@ -44,7 +44,7 @@
 func newState() *state {
 	return &state{evacuatedZones: make(map[string]bool), endpoints: make(map[string]*catalog.Endpoint), hosts: make(map[string]Host),
 		items: make(map[string]port.KeyValue), undecodable: make(map[string]bool), removals: make(map[string]time.Time),
-		refusedFingerprints: make(map[string]bool), tombstones: make(map[string]tombstone), heldBack: make(map[string]heldItem)}
+		crashEntries: make(map[string]string), tombstones: make(map[string]tombstone), heldBack: make(map[string]heldItem)}
 }
 
 // apply applies an update of the store or of another host, unless it is older
@@ -130,21 +130,19 @@
 	case port.KeyEndpoint:
 		s.putEndpoint(cfg, item, afterFirstRead)
 	default:
-		if fingerprint, ok := cfg.refusedFingerprint(item.Key); ok {
-			s.refusedFingerprints[fingerprint] = true
+		if name, ok := cfg.crashEntryName(item.Key); ok {
+			s.crashEntries[name] = string(item.Value)
 			return
 		}
 		s.putHost(cfg, item)
 	}
 }
 
-// refusedFingerprint returns the fingerprint whose requests are refused while the
-// key exists.
-func (cfg Config) refusedFingerprint(key string) (string, bool) {
-	if cfg.RefusedFingerprint == nil {
+func (cfg Config) crashEntryName(key string) (string, bool) {
+	if cfg.CrashEntryName == nil {
 		return "", false
 	}
-	return cfg.RefusedFingerprint(key)
+	return cfg.CrashEntryName(key)
 }
 
 // putConfig replaces the configuration, unless the item can't be decoded or its
@@ -219,8 +217,8 @@
 		delete(s.endpoints, key)
 	case port.KeyOther:
 		delete(s.hosts, key)
-		if fingerprint, ok := cfg.refusedFingerprint(key); ok {
-			delete(s.refusedFingerprints, fingerprint)
+		if name, ok := cfg.crashEntryName(key); ok {
+			delete(s.crashEntries, name)
 		}
 	}
 }
@@ -282,7 +280,7 @@
 // snapshot returns a snapshot of the state.
 func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
-		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), RefusedFingerprints: maps.Clone(s.refusedFingerprints),
+		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), CrashEntries: maps.Clone(s.crashEntries),
 		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Position: s.position}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
--- a/internal/port/endpoint.go
+++ b/internal/port/endpoint.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pimentorill/pimentorill/internal/core/release"
 )
 
@@ -30,6 +34,16 @@
 // Unwrap returns the cause.
 func (e *ConnectionLostError) Unwrap() error { return e.Err }
 
+// IsConnectionLoss reports whether err means that the peer closed or reset the connection.
+func IsConnectionLoss(err error) bool {
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, lost) {
+			return true
+		}
+	}
+	return false
+}
+
 // Attempt is one execution attempt of one stage on one endpoint.
 type Attempt struct {
 	// ID is unique across all hosts; the response must carry it.
