--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -23,8 +23,10 @@
 // tries on until its deadline.
 
 const (
-	// failoverInterval is the time between two searches for a successor.
-	failoverInterval = 100 * time.Millisecond
+	// failoverInterval is the first time between two searches for a successor. It grows by
+	// half up to maxFailoverInterval: many exchanges may search at once.
+	failoverInterval    = 100 * time.Millisecond
+	maxFailoverInterval = 500 * time.Millisecond
 	// maxSilence is the time from which an endpoint that stays unreachable counts as gone:
 	// an exchange whose response has not begun then ends without a successor too, so that
 	// the caller can retry.
@@ -157,7 +159,7 @@
 func (f *failover) search() {
 	var unreachableSince time.Time
 	rewatch := false
-	for {
+	for interval := failoverInterval; ; interval = min(maxFailoverInterval, interval*3/2) {
 		d, ok := f.currentDoubt()
 		if !ok {
 			break
@@ -176,7 +178,7 @@
 			f.giveUp(errUnreachable)
 			return
 		}
-		port.Sleep(f.ctx, failoverInterval)
+		port.Sleep(f.ctx, interval)
 	}
 	if rewatch && f.ctx.Err() == nil {
 		f.watchReachability()
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -140,10 +140,10 @@
 // balancer, the health monitor and the guard against crashes. It returns nil once the
 // whole response is forwarded to the caller; the error is a *verdict.Error.
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
-	ctx, failover := r.watch(parent, e)
 	r.attempts++
 	r.attempted[e.ID] = true
 	r.respondingSince = time.Time{}
+	ctx, failover := r.watch(parent, e)
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
