Don't take an endpoint that stops at its deadline for one that crashed

An endpoint stops at the deadline that it was given, which may be a moment before this host's own timer. The broken connection counted as a crash under the request.

A row of TestOnlyBrokenConnectionsAreCrashes failed before.

--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -32,6 +32,10 @@
 			return verdict.Wrap(io.EOF, verdict.CodeEndpointFailed, verdict.NotRun, "endpoint not reached")
 		}, 0},
 		{"broken off", func(func(*port.EndpointResponse) error) error { return brokenOff(io.ErrUnexpectedEOF) }, 1},
+		{"broken off at the deadline", func(func(*port.EndpointResponse) error) error {
+			time.Sleep(20*time.Second - deadlineMargin/2)
+			return brokenOff(io.ErrUnexpectedEOF)
+		}, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -25,6 +25,9 @@
 	// is no longer taken for the cause of a crash: those that crash endpoints do so as
 	// the response begins.
 	maxCrashDelay = 2 * time.Second
+	// deadlineMargin is the time before the deadline in which an endpoint may already have
+	// stopped because of it.
+	deadlineMargin = 100 * time.Millisecond
 	// leastUrgentPriority is the least urgent priority that an endpoint accepts;
 	// 0 is the most urgent.
 	leastUrgentPriority = 9
@@ -176,9 +179,10 @@
 
 // mayHaveCrashed reports whether err, the error of the last attempt, is what a crash of the
 // endpoint looks like that the exchange may have caused: the endpoint broke the
-// connection, and the exchange had not been receiving its response for long.
+// connection before the deadline, at which it stops by itself, and the exchange had not
+// been receiving its response for long.
 func (r *exchangeRun) mayHaveCrashed(err error) bool {
-	if verdict.Of(err) == verdict.NotRun || !port.IsConnectionLoss(err) {
+	if verdict.Of(err) == verdict.NotRun || !port.IsConnectionLoss(err) || r.remainingTime() <= deadlineMargin {
 		return false
 	}
 	return r.respondingSince.IsZero() || r.cfg.Clock.Now().Sub(r.respondingSince) <= maxCrashDelay
