--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -296,3 +296,16 @@
 		t.Error("the bad part is not blamed")
 	}
 }
+
+// Guards against sound parts that are refused because all endpoints of a service were lost
+// at once: no response can clear them then.
+func TestEndpointsLostTogetherBlameNothing(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	l := newLedger(clock)
+	for i := range 18 {
+		l.Crashed(incarnation("pool", i), traitsOf(goodPart))
+		clock.advance(time.Millisecond)
+	}
+	is.True(!isBlamed(l, goodPart))
+}
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -91,7 +91,7 @@
 // other hosts with cfg.Peers. Run spreads evidence.
 func New(cfg Config) *Guard {
 	g := &Guard{cfg: cfg, changed: make(chan struct{}, 1), entries: newEntries()}
-	g.ledger = poison.New(poison.Config{Clock: cfg.Clock, Log: cfg.Log, OnChange: func() {
+	g.ledger = poison.New(poison.Config{Host: cfg.Peers.Self(), Clock: cfg.Clock, Log: cfg.Log, OnChange: func() {
 		select {
 		case g.changed <- struct{}{}:
 		default:
