Don't blame a part that was only there when another one crashed endpoints

A part with enough crashes is not blamed if another one was there at each of them, this host had whole responses with the one of late, and none with the other. TestPartThatAnotherExplainsIsNotBlamed covers it.

--- /dev/null
+++ b/internal/core/poison/explain.go
@@ -0,0 +1,82 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+const (
+	// respondedTTL is how long a whole response with a part speaks for it.
+	respondedTTL = 10 * time.Minute
+	// maxResponded bounds the parts whose responses are remembered.
+	maxResponded = 4096
+)
+
+// Responded records that this host received a whole successful response from an endpoint
+// of a service. Call it for each response: it is what tells sound parts from those that
+// crash endpoints if they crashed together.
+func (l *Ledger) Responded(service string, x *port.Exchange) {
+	now := l.cfg.Clock.Now()
+	l.mu.Lock()
+	for i, part := range x.Prompt {
+		if i+1 == len(x.Prompt) || i == maxParts {
+			break
+		}
+		l.respondedAt[PartTrait(part.ID)] = now
+	}
+	if len(l.respondedAt) > maxResponded {
+		l.forgetResponses(now)
+	}
+	l.mu.Unlock()
+	if !l.Idle() {
+		l.Completed(service, Traits(x))
+	}
+}
+
+// forgetResponses forgets the responses that no longer count, or all if there are too many
+// that do. l.mu must be held.
+func (l *Ledger) forgetResponses(now time.Time) {
+	for t, at := range l.respondedAt {
+		if now.Sub(at) > respondedTTL {
+			delete(l.respondedAt, t)
+		}
+	}
+	if len(l.respondedAt) > maxResponded/2 {
+		clear(l.respondedAt)
+	}
+}
+
+// explained reports whether a trait with enough crashes for a blame was only there when
+// another one crashed endpoints: this host had responses with the trait of late and none
+// with the other, and the other was there at each of its crashes. l.mu must be held.
+func (l *Ledger) explained(t Trait, e *evidence, now time.Time) bool {
+	if !e.restoredAt.IsZero() || !l.hasResponded(t, now) {
+		return false
+	}
+	for other, o := range l.traits {
+		if other != t && !other.isRequest() && o.blamed && !l.hasResponded(other, now) && e.within(o) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) hasResponded(t Trait, now time.Time) bool {
+	at, ok := l.respondedAt[t]
+	return ok && now.Sub(at) <= respondedTTL
+}
+
+// within reports whether all crashes of e are crashes of o as well.
+func (e *evidence) within(o *evidence) bool {
+	for name, s := range e.services {
+		for i := range s.crashedAt {
+			if os := o.services[name]; os == nil {
+				return false
+			} else if _, ok := os.crashedAt[i]; !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -94,16 +94,18 @@
 	// and of blamed traits.
 	suspectedCount, blamedCount atomic.Int64
 
-	mu      sync.Mutex
-	traits  map[Trait]*evidence
-	sweptAt time.Time
+	mu     sync.Mutex
+	traits map[Trait]*evidence
+	// respondedAt holds when this host last received a whole response with a part.
+	respondedAt map[Trait]time.Time
+	sweptAt     time.Time
 	// changed means that OnChange is to be called.
 	changed bool
 }
 
 // New returns a Ledger without evidence.
 func New(cfg Config) *Ledger {
-	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence)}
+	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence), respondedAt: make(map[Trait]time.Time)}
 }
 
 // Blame is a trait with which requests are not to be sent to endpoints. Its times are
@@ -179,7 +181,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range traits {
-		if e := l.traits[t]; e != nil && e.blamed && now.Before(e.until) {
+		if e := l.traits[t]; e != nil && e.blamed && now.Before(e.until) && !l.explained(t, e, now) {
 			return e.blame(t), true
 		}
 	}
@@ -195,8 +197,9 @@
 	l.lock(l.cfg.Clock.Now())
 	defer l.unlock()
 	var blames []Blame
+	now := l.cfg.Clock.Now()
 	for t, e := range l.traits {
-		if e.blamed {
+		if e.blamed && !l.explained(t, e, now) {
 			blames = append(blames, e.blame(t))
 		}
 	}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -13,6 +13,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/suspect"
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 type manualClock struct {
@@ -297,6 +298,30 @@
 	}
 }
 
+// Guards against sound parts that are refused because they were there at each crash of a
+// part that crashes endpoints.
+func TestPartThatAnotherExplainsIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(newClock())
+	request := func(parts ...string) *port.Exchange {
+		x := &port.Exchange{Target: "/x"}
+		for _, id := range append(parts, "own") {
+			x.Prompt = append(x.Prompt, port.PromptPart{ID: id})
+		}
+		return x
+	}
+	l.Responded("pool", request("good"))
+	crash(l, 0, partThreshold, goodPart, badPart)
+	is.True(isBlamed(l, badPart))
+	is.True(!isBlamed(l, goodPart))
+	is.Equal(len(l.Blames()), 1)
+	crash(l, partThreshold, partThreshold+1, goodPart) // without the other one
+	is.True(isBlamed(l, goodPart))
+	l.Responded("pool", request("good"))
+	is.True(!isBlamed(l, goodPart))
+	is.True(isBlamed(l, badPart))
+}
+
 // Guards against sound parts that are refused because all endpoints of a service were lost
 // at once: no response can clear them then.
 func TestEndpointsLostTogetherBlameNothing(t *testing.T) {
--- a/internal/core/poison/simulation_test.go
+++ b/internal/core/poison/simulation_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/suspect"
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 // scenario is what a fleet goes through.
@@ -71,6 +73,18 @@
 	bytes         int
 }
 
+// exchange returns the parts of the request's prompt.
+func (r *request) exchange() *port.Exchange {
+	x := &port.Exchange{}
+	for _, t := range r.traits {
+		if id, ok := strings.CutPrefix(string(t), "part/"); ok {
+			x.Prompt = append(x.Prompt, port.PromptPart{ID: id})
+		}
+	}
+	x.Prompt = append(x.Prompt, port.PromptPart{ID: "own"})
+	return x
+}
+
 // occurrence is a crash by a bad part, or the beginning of a request with one.
 type occurrence struct {
 	at    time.Duration
@@ -278,6 +292,7 @@
 	}
 	complete := h.own(func() {
 		if !h.isCut(h.zone, e.zone) {
+			h.ledger.Responded(e.Service, r.exchange())
 			h.ledger.Completed(e.Service, r.traits)
 		}
 	})
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -133,9 +133,7 @@
 // ReportResponse records that an endpoint of the service sent a whole successful response
 // to the exchange.
 func (g *Guard) ReportResponse(x *port.Exchange, service string) {
-	if !g.ledger.Idle() {
-		g.ledger.Completed(service, poison.Traits(x))
-	}
+	g.ledger.Responded(service, x)
 }
 
 // Run spreads evidence and records blames in the store until ctx ends.
