Decide by evidence rather than by the store's entry of a blame

The entry of a blame, written by a host that can't tell a sound part from the one that explains it, had that part blamed at all hosts, also at those that can. It is for hosts that know nothing yet.

A line of TestPartThatAnotherExplainsIsNotBlamed failed before.

--- a/internal/core/poison/evidence.go
+++ b/internal/core/poison/evidence.go
@@ -198,6 +198,16 @@
 	return min(d, maxBlameTime)
 }
 
+// hasCrashes reports whether crashes are known that are not cleared.
+func (e *evidence) hasCrashes() bool {
+	for _, s := range e.services {
+		if len(s.crashedAt) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hasClears reports whether a clear is remembered.
 func (e *evidence) hasClears() bool {
 	for _, s := range e.services {
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -208,8 +208,8 @@
 }
 
 // Restore records that the store holds an entry that says that a trait is blamed, and
-// has been for a time. It is meant for a host that has started anew; the other hosts
-// know the evidence. The blame holds for ten minutes from its beginning and at least
+// has been for a time. It is meant for a host that has started anew; a host that has
+// evidence of its own ignores it. The blame holds for ten minutes from its beginning and at least
 // for a minute from now, unless it was cleared or lifted since. The host doesn't tell
 // it to others.
 func (l *Ledger) Restore(t Trait, since time.Duration) {
@@ -220,6 +220,9 @@
 	l.lock(now)
 	defer l.unlock()
 	e := l.evidenceOf(t)
+	if e.hasCrashes() {
+		return // a host that has evidence decides by it
+	}
 	if at := now.Add(-since); at.After(e.restoredAt) {
 		e.restoredAt = at
 	}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -315,6 +315,8 @@
 	is.True(isBlamed(l, badPart))
 	is.True(!isBlamed(l, goodPart))
 	is.Equal(len(l.Blames()), 1)
+	l.Restore(goodPart, time.Second) // a host without those responses has written an entry
+	is.True(!isBlamed(l, goodPart))
 	crash(l, partThreshold, partThreshold+1, goodPart) // without the other one
 	is.True(isBlamed(l, goodPart))
 	l.Responded("pool", request("good"))
