Don't go on with a successor for a caller that has gone

A search that had just found a successor made the exchange go on there although nothing could be written to the caller any more. Found when the diff was read; not shown by a test.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -15,7 +15,7 @@
 )
 
 // A sound endpoint may fall silent for a while and go on, so silence alone never ends a
-// response. An attempt that another may follow is doubted while its endpoint is
+// response. An attempt at a request that may be repeated is doubted while its endpoint is
 // unreachable, its stream makes no progress or its time is up. It is given up only once
 // its successor is certain: the results of the stages are there, an endpoint is picked and
 // the retry is taken from the budget. Until then it goes on, while a successor is looked
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -53,7 +53,8 @@
 		if ctx.Err() != nil {
 			return r.abandon(nil, verdict.Wrap(ctx.Err(), verdict.CodeDeadlineExceeded, verdict.MayHaveRun, "no answer in time"))
 		}
-		willRetry := r.successor != nil || r.mayRetry(lastErr)
+		callerGone := verdict.From(lastErr).Code == verdict.CodeCallerCancelled
+		willRetry := !callerGone && (r.successor != nil || r.mayRetry(lastErr))
 		r.logFailedAttempt(e, lastErr, willRetry)
 		if !willRetry && !r.awaitRetry(ctx, lastErr) {
 			return r.abandon(lastErr, nil)
@@ -86,9 +87,6 @@
 // mayRetry reports whether the exchange may be sent once more after err. If so,
 // it takes one retry from the service's budget.
 func (r *exchangeRun) mayRetry(err error) bool {
-	if verdict.From(err).Code == verdict.CodeCallerCancelled {
-		return false
-	}
 	if verdict.Of(err) == verdict.NotRun {
 		if !r.mustGoOn && r.attempts-r.executedAttempts > maxRefusals {
 			return false
