--- a/internal/adapter/httpcall/untilclose_test.go
+++ b/internal/adapter/httpcall/untilclose_test.go
@@ -50,7 +50,7 @@
 	}{
 		"success":          {header: "HTTP/1.1 200 OK\r\n", body: "hello", status: 200},
 		"error":            {header: "HTTP/1.1 500 Internal Server Error\r\n", body: "fail", status: 500},
-		"refusal":          {header: "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n", body: "full", status: 503, skip: true},
+		"refusal":          {header: "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\n", body: "full", status: 503, skip: true},
 		"empty body":       {header: "HTTP/1.1 200 OK\r\n", status: 200},
 		"empty error":      {header: "HTTP/1.1 503 Service Unavailable\r\n", status: 503},
 		"HEAD":             {header: "HTTP/1.1 200 OK\r\n", status: 200, noBody: true},
