Blame no parts of prompts for endpoints that are lost together

Change: a response clears its parts of crashes up to a second later, at any host that hears of them; seven endpoints of a service that ended within 2 s count as one less than is enough for a blame, and the next crash decides.

TestPartThatAnotherExplainsIsNotBlamed lets 1.5 s pass after the response: in the same moment it now clears the part. Its checks are unchanged.

--- a/internal/core/poison/evidence.go
+++ b/internal/core/poison/evidence.go
@@ -135,9 +135,13 @@
 	return list
 }
 
+// crashCounter returns the number of crashes at a service that count against a trait with
+// a threshold.
+type crashCounter func(service string, s *serviceEvidence, threshold int) int
+
 // settle removes what has expired and works out whether the trait is blamed.
-func (e *evidence) settle(now time.Time, threshold int) {
-	e.count(threshold)
+func (e *evidence) settle(now time.Time, threshold int, counter crashCounter) {
+	e.count(threshold, counter)
 	retention := evidenceTTL
 	if e.crashes >= threshold {
 		retention = e.until.Sub(e.lastCrash) + blamedRetention
@@ -147,7 +151,7 @@
 			clear(s.crashedAt)
 		}
 		e.restoredAt, e.restoredUntil = time.Time{}, time.Time{}
-		e.count(threshold)
+		e.count(threshold, counter)
 	}
 	clearRetention := clearTTL
 	if e.onceBlamed {
@@ -166,10 +170,10 @@
 }
 
 // count sets crashes, lastCrash and until.
-func (e *evidence) count(threshold int) {
+func (e *evidence) count(threshold int, counter crashCounter) {
 	e.crashes, e.lastCrash, e.until = 0, e.restoredAt, time.Time{}
-	for _, s := range e.services {
-		e.crashes += len(s.crashedAt)
+	for name, s := range e.services {
+		e.crashes += counter(name, s, threshold)
 		for _, at := range s.crashedAt {
 			if at.After(e.lastCrash) {
 				e.lastCrash = at
--- a/internal/core/poison/explain.go
+++ b/internal/core/poison/explain.go
@@ -7,12 +7,21 @@
 )
 
 const (
-	// respondedTTL is how long a whole response with a part speaks for it.
+	// respondedTTL is how long a whole response with a part is remembered.
 	respondedTTL = 10 * time.Minute
+	// soundTime is how long after a whole response with a part crashes don't count
+	// against it: they are the crashes of a part in use all the time.
+	soundTime = time.Second
 	// maxResponded bounds the parts whose responses are remembered.
 	maxResponded = 4096
 )
 
+// partAt is a part at a service.
+type partAt struct {
+	service string
+	part    Trait
+}
+
 // Responded records that this host received a whole successful response from an endpoint
 // of a service. Call it for each response: it is what tells sound parts from those that
 // crash endpoints if they crashed together.
@@ -23,7 +32,7 @@
 		if i+1 == len(x.Prompt) || i == maxParts {
 			break
 		}
-		l.respondedAt[PartTrait(part.ID)] = now
+		l.respondedAt[partAt{service, PartTrait(part.ID)}] = now
 	}
 	if len(l.respondedAt) > maxResponded {
 		l.forgetResponses(now)
@@ -34,6 +43,17 @@
 	}
 }
 
+// clearByResponse clears a part of a crash at a service if this host received a whole
+// response with it shortly before, and reports whether other hosts should know of that.
+// l.mu must be held.
+func (l *Ledger) clearByResponse(t Trait, e *evidence, service string, crashedAt time.Time) bool {
+	at, ok := l.respondedAt[partAt{service, t}]
+	if !ok || crashedAt.Sub(at) > soundTime {
+		return false
+	}
+	return e.addClear(service, at.Add(soundTime-clearTolerance))
+}
+
 // forgetResponses forgets the responses that no longer count, or all if there are too many
 // that do. l.mu must be held.
 func (l *Ledger) forgetResponses(now time.Time) {
@@ -51,20 +71,26 @@
 // another one crashed endpoints: this host had responses with the trait of late and none
 // with the other, and the other was there at each of its crashes. l.mu must be held.
 func (l *Ledger) explained(t Trait, e *evidence, now time.Time) bool {
-	if !e.restoredAt.IsZero() || !l.hasResponded(t, now) {
+	if !e.restoredAt.IsZero() || !l.hasResponded(t, e, now) {
 		return false
 	}
 	for other, o := range l.traits {
-		if other != t && !other.isRequest() && o.blamed && !l.hasResponded(other, now) && e.within(o) {
+		if other != t && !other.isRequest() && o.blamed && !l.hasResponded(other, o, now) && e.within(o) {
 			return true
 		}
 	}
 	return false
 }
 
-func (l *Ledger) hasResponded(t Trait, now time.Time) bool {
-	at, ok := l.respondedAt[t]
-	return ok && now.Sub(at) <= respondedTTL
+// hasResponded reports whether this host had a response with a trait of late from a
+// service at which it crashed endpoints.
+func (l *Ledger) hasResponded(t Trait, e *evidence, now time.Time) bool {
+	for service, s := range e.services {
+		if at, ok := l.respondedAt[partAt{service, t}]; ok && len(s.crashedAt) > 0 && now.Sub(at) <= respondedTTL {
+			return true
+		}
+	}
+	return false
 }
 
 // within reports whether all crashes of e are crashes of o as well.
--- a/internal/core/poison/fleet_test.go
+++ b/internal/core/poison/fleet_test.go
@@ -140,6 +140,41 @@
 	}
 }
 
+// TestEndpointsLostTogetherRefuseNothing guards against sound requests that are refused
+// because many endpoints ended in one moment, and all ran requests with the same parts.
+func TestEndpointsLostTogetherRefuseNothing(t *testing.T) {
+	for _, s := range []scenario{
+		{hosts: 8, endpoints: 18, requests: 40},
+		{hosts: 82, endpoints: 90, requests: 340},
+		{hosts: 195, endpoints: 117, requests: 400},
+		{hosts: 360, endpoints: 600, requests: 3000},
+	} {
+		for _, lost := range []float64{0.25, 0.5, 1} {
+			s := s
+			s.lost, s.truncated, s.runTime = lost, 0.5, 8*time.Second
+			t.Run(fmt.Sprint(s.hosts, " hosts, lost ", lost), func(t *testing.T) {
+				seeds := *fleetSeeds
+				if seeds == 0 && s.hosts <= 195 {
+					seeds = 1
+				}
+				t.Parallel()
+				var refused, blamed []int
+				for seed := range uint64(seeds) {
+					f := newFleet(s, seed)
+					f.run()
+					refused, blamed = append(refused, f.refusedSound), append(blamed, len(f.soundBlamed))
+					if f.refusedSound > 0 {
+						t.Errorf("seed %d: %d of %d sound requests refused, %d traits blamed", seed, f.refusedSound, f.requested, len(f.soundBlamed))
+					}
+				}
+				if seeds > 0 {
+					t.Logf("%d runs: sound requests refused %.1f, most %d; traits blamed %.2f", seeds, mean(refused), slices.Max(refused), mean(blamed))
+				}
+			})
+		}
+	}
+}
+
 // playSeeds plays a scenario with each seed and checks the targets.
 func playSeeds(t *testing.T, s scenario, seeds uint64) {
 	t.Parallel()
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -97,15 +97,17 @@
 	mu     sync.Mutex
 	traits map[Trait]*evidence
 	// respondedAt holds when this host last received a whole response with a part.
-	respondedAt map[Trait]time.Time
-	sweptAt     time.Time
+	respondedAt map[partAt]time.Time
+	// losses holds the endpoints that were lost together, by service.
+	losses  map[string]*losses
+	sweptAt time.Time
 	// changed means that OnChange is to be called.
 	changed bool
 }
 
 // New returns a Ledger without evidence.
 func New(cfg Config) *Ledger {
-	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence), respondedAt: make(map[Trait]time.Time)}
+	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence), respondedAt: make(map[partAt]time.Time), losses: make(map[string]*losses)}
 }
 
 // Blame is a trait with which requests are not to be sent to endpoints. Its times are
@@ -136,12 +138,17 @@
 	now := l.cfg.Clock.Now()
 	l.lock(now)
 	defer l.unlock()
+	if !validName(endpoint.Service) || !validName(endpoint.ID) {
+		return
+	}
+	l.ended(endpoint.Service, endpoint.Incarnation(), now)
 	for _, t := range traits {
-		if !t.valid() || !validName(endpoint.Service) || !validName(endpoint.ID) {
+		if !t.valid() {
 			continue
 		}
 		e := l.evidenceOf(t)
-		if e.addCrash(endpoint.Service, endpoint.Incarnation(), now) {
+		isNews := l.clearByResponse(t, e, endpoint.Service, now)
+		if e.addCrash(endpoint.Service, endpoint.Incarnation(), now) || isNews {
 			l.learned(e, now)
 		}
 		l.settle(t, e, now, "")
@@ -304,7 +311,7 @@
 func (l *Ledger) settle(t Trait, e *evidence, now time.Time, reason string) {
 	suspected, blamed := e.crashes > 0, e.blamed
 	crashes := e.crashes
-	e.settle(now, t.threshold())
+	e.settle(now, t.threshold(), l.countCrashes)
 	l.recount(suspected, blamed, e.crashes > 0, e.blamed)
 	switch {
 	case e.blamed && !blamed:
@@ -317,8 +324,11 @@
 			slog.String("evidence", e.describe(now)), slog.Duration("for", e.until.Sub(now).Round(time.Second)))
 	case blamed && !e.blamed:
 		l.changed = true
-		if e.crashes >= t.threshold() {
+		switch {
+		case e.crashes >= t.threshold():
 			reason = "lapsed"
+		case e.hasCrashes():
+			reason = "endpoints were lost together"
 		}
 		l.cfg.Log.Info("requests are no longer refused for crashes", slog.String("trait", string(t)), slog.String("reason", reason),
 			slog.Int("crashes", crashes), slog.Duration("after", now.Sub(e.blamedSince).Round(time.Millisecond)))
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -302,7 +302,8 @@
 // part that crashes endpoints.
 func TestPartThatAnotherExplainsIsNotBlamed(t *testing.T) {
 	is := is.New(t)
-	l := newLedger(newClock())
+	clock := newClock()
+	l := newLedger(clock)
 	request := func(parts ...string) *port.Exchange {
 		x := &port.Exchange{Target: "/x"}
 		for _, id := range append(parts, "own") {
@@ -311,6 +312,7 @@
 		return x
 	}
 	l.Responded("pool", request("good"))
+	clock.advance(1500 * time.Millisecond) // the response no longer clears what comes
 	crash(l, 0, partThreshold, goodPart, badPart)
 	is.True(isBlamed(l, badPart))
 	is.True(!isBlamed(l, goodPart))
--- a/internal/core/poison/reports.go
+++ b/internal/core/poison/reports.go
@@ -155,7 +155,10 @@
 		for _, s := range r.Services {
 			for _, c := range s.Crashes {
 				i := catalog.Incarnation{ID: c.Endpoint, StartedUnixMs: c.StartedUnixMs}
-				isNews = e.addCrash(s.Service, i, receivedTime(now, c.AgeMs)) || isNews
+				at := receivedTime(now, c.AgeMs)
+				l.ended(s.Service, i, at)
+				isNews = l.clearByResponse(r.Trait, e, s.Service, at) || isNews
+				isNews = e.addCrash(s.Service, i, at) || isNews
 			}
 		}
 		l.settle(r.Trait, e, now, "cleared at another host")
--- a/internal/core/poison/simulation_test.go
+++ b/internal/core/poison/simulation_test.go
@@ -30,7 +30,9 @@
 	// host that blames a bad part, restarts starts hosts anew, and storeless keeps the
 	// store away.
 	cut, stop, restarts, storeless bool
-	runTime                        time.Duration
+	// lost is the share of the endpoints that are lost in one moment, at badFrom.
+	lost    float64
+	runTime time.Duration
 }
 
 const (
@@ -39,8 +41,11 @@
 	// contactTime is the platform's contact_ms.
 	contactTime = 3 * time.Second
 	// spreadDelay is how long a host collects news before it tells its neighbours.
-	spreadDelay    = 50 * time.Millisecond
-	spreadTargets  = 4
+	spreadDelay   = 50 * time.Millisecond
+	spreadTargets = 4
+	// maxNotice is how long hosts take at most to notice endpoints that are lost
+	// together.
+	maxNotice      = 300 * time.Millisecond
 	pingTargets    = 2
 	cutFrom        = badFrom - time.Second
 	cutUntil       = cutFrom + 20*time.Second
@@ -176,6 +181,9 @@
 	if s.restarts {
 		f.every(1, badFrom, func() { f.all[f.rng.IntN(len(f.all))].restart() })
 	}
+	if s.lost > 0 {
+		f.after(badFrom, f.loseTogether)
+	}
 	if s.cut {
 		for _, at := range []time.Duration{cutFrom, cutUntil} {
 			f.after(at, f.disturbCutZone)
@@ -324,7 +332,18 @@
 	if f.now-r.began > 2*time.Second || f.isCut(h.zone, e.zone) {
 		return
 	}
-	f.after(f.between(0, 10*time.Millisecond), h.own(func() { h.ledger.Crashed(incarnation, r.traits) }))
+	notice := 10 * time.Millisecond
+	if f.lost > 0 {
+		notice = maxNotice
+	}
+	f.after(f.between(0, notice), h.own(func() { h.ledger.Crashed(incarnation, r.traits) }))
+}
+
+// loseTogether ends a share of the endpoints in one moment.
+func (f *fleet) loseTogether() {
+	for _, i := range f.rng.Perm(len(f.endpoint))[:int(f.lost*float64(len(f.endpoint)))] {
+		f.crash(f.endpoint[i])
+	}
 }
 
 // truncate ends a response while its endpoint goes on.
