Have few hosts of a zone watch the store and the others learn from them

Change: three hosts of a zone of eight or more watch the store; the others ask one of them for changes, from the store's positions (decision 0025). A host watches the store itself while they are silent, lag or don't remember enough. While the store is away, the others ask the watchers whether it is back.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -157,7 +157,7 @@
 	n.relay.ObserveNotices(n.observeNotice)
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
-		CrashEntryName: crashing.EntryName, FetchFromPeer: sharing.fetchFromPeer})
+		CrashEntryName: crashing.EntryName, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
 	sharing.handleRequests(n.replica)
 	n.origins = origins.New(origins.Config{Peers: group, Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, Clock: clock, Log: log, Metrics: n.metrics.Scope})
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -18,8 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -153,6 +151,8 @@
 	CrashEntryName func(key string) (name string, ok bool)
 	// FetchFromPeer may be nil; then no state is fetched from other hosts.
 	FetchFromPeer PeerFetcher
+	// Peers may be nil; then this host watches the store itself at all times.
+	Peers Peers
 }
 
 // Replica follows the store and publishes snapshots. Run is called once; the
@@ -164,6 +164,9 @@
 	dumps       chan chan *Dump
 	storeStatus *storeStatus
 	state       *state
+	changelog   *changelog
+	// watchesStore is set while this host watches the store itself.
+	watchesStore atomic.Bool
 }
 
 // update holds all items of the store, or those that changed since the last
@@ -177,9 +180,9 @@
 	// afterOutage is set if this complete read follows an outage of the store in
 	// which entries may have expired.
 	afterOutage bool
-	// dumpAge is the age of the dump of another host that the items come from; 0 if
-	// they come from the store.
-	dumpAge time.Duration
+	// age is the time since the store confirmed the position to the host that the items
+	// come from; 0 if they come from the store.
+	age time.Duration
 	// done is closed once the update is applied.
 	done chan struct{}
 }
@@ -188,8 +191,9 @@
 // fetched the state of another host.
 func New(cfg Config) *Replica {
 	r := &Replica{cfg: cfg, updates: make(chan update), dumps: make(chan chan *Dump),
-		storeStatus: &storeStatus{clock: cfg.Clock, log: cfg.Log}, state: newState()}
+		storeStatus: &storeStatus{clock: cfg.Clock, log: cfg.Log}, state: newState(), changelog: newChangelog(cfg.Clock)}
 	r.current.Store(&Snapshot{})
+	r.watchesStore.Store(true)
 	return r
 }
 
@@ -242,40 +246,6 @@
 	}
 }
 
-// followStore reads the store and then watches it for changes until ctx ends.
-// One watch covers all keys, because each pending watch call has a cost.
-func (r *Replica) followStore(ctx context.Context) {
-	retryDelay := minRetryDelay
-	var position port.StorePosition // zero: all keys have to be read
-	watches := rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)
-	for ctx.Err() == nil {
-		watches.SetLimit(rate.Every(watchInterval(len(r.Current().Hosts))))
-		if watches.Wait(ctx) != nil {
-			return
-		}
-		items, next, complete, err := r.readOrWatch(ctx, position)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			if isCompacted(err) {
-				r.cfg.Log.Info("store history not available, reading all keys", slog.Int64("after", position.Revision), slog.Int64("epoch", position.Epoch), slog.Any("error", err))
-				position = port.StorePosition{}
-				continue
-			}
-			r.storeStatus.recordFailure(err)
-			port.Sleep(ctx, retryDelay)
-			retryDelay = min(maxRetryDelay, 2*retryDelay)
-			position = port.StorePosition{}
-			continue
-		}
-		retryDelay = minRetryDelay
-		afterOutage := r.storeStatus.recordResponse()
-		r.sendUpdate(ctx, update{items: items, position: next, complete: complete, afterOutage: afterOutage})
-		position = next
-	}
-}
-
 // watchInterval returns the time between two watches of one of the given number of
 // hosts while there are many changes.
 func watchInterval(hosts int) time.Duration {
@@ -326,7 +296,7 @@
 		if err != nil || d == nil {
 			continue
 		}
-		r.sendUpdate(ctx, update{items: d.Items, position: port.StorePosition{Epoch: d.Epoch, Revision: d.Revision}, complete: true, dumpAge: d.Age})
+		r.sendUpdate(ctx, update{items: d.Items, position: port.StorePosition{Epoch: d.Epoch, Revision: d.Revision}, complete: true, age: d.Age})
 	}
 }
 
@@ -334,8 +304,9 @@
 // goroutine calls apply and publish.
 func (r *Replica) apply(u update) {
 	now := r.cfg.Clock.Now()
-	r.state.apply(r.cfg, u, now)
+	changes, continuous := r.state.apply(r.cfg, u, now)
 	r.publish()
+	r.changelog.add(changes, r.state.position, r.state.confirmedAt, continuous)
 }
 
 func (r *Replica) publish() {
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -48,10 +49,11 @@
 }
 
 // apply applies an update of the store or of another host, unless it is older
-// than the state.
-func (s *state) apply(cfg Config, u update, now time.Time) {
+// than the state. It returns the items that changed, and whether these are all that
+// changed in the store since the position before.
+func (s *state) apply(cfg Config, u update, now time.Time) (changes []port.KeyValue, continuous bool) {
 	if u.position.Before(s.position) {
-		return
+		return nil, true
 	}
 	firstRead := !s.initialized
 	restored := !firstRead && u.position.Epoch > s.position.Epoch
@@ -60,8 +62,9 @@
 			slog.Int64("former_epoch", s.position.Epoch), slog.Int64("former_revision", s.position.Revision), slog.Int("items", len(u.items)), slog.Int("former_items", len(s.items)))
 		cfg.Observer.StoreRestored()
 	}
+	changes, continuous = s.changesIn(u, firstRead || restored)
 	s.position, s.initialized = u.position, true
-	s.confirmedAt = laterOf(s.confirmedAt, now.Add(-u.dumpAge))
+	s.confirmedAt = laterOf(s.confirmedAt, now.Add(-u.age))
 	if u.complete {
 		s.removeMissing(cfg, u, lossOf(u, restored), now)
 	}
@@ -74,6 +77,33 @@
 			s.putItem(cfg, item, !firstRead)
 		}
 	}
+	return changes, continuous
+}
+
+// changesIn returns the items of an update that is about to be applied and that change the
+// state, and whether these are all that changed in the store. They are not if the state
+// begins anew, or if entries may have expired that are to be kept.
+func (s *state) changesIn(u update, beginsAnew bool) (changes []port.KeyValue, continuous bool) {
+	if !u.complete {
+		return u.items, true
+	}
+	if beginsAnew || u.afterOutage || u.age > 0 {
+		return nil, false
+	}
+	present := make(map[string]bool, len(u.items))
+	for _, item := range u.items {
+		present[item.Key] = true
+		if known, ok := s.items[item.Key]; !ok || known.Position().Before(item.Position()) {
+			changes = append(changes, item)
+		}
+	}
+	for key := range s.items {
+		if !present[key] {
+			changes = append(changes, port.KeyValue{Key: key, Deleted: true, Revision: u.position.Revision, Epoch: u.position.Epoch})
+		}
+	}
+	slices.SortFunc(changes, func(a, b port.KeyValue) int { return cmp.Compare(a.Revision, b.Revision) })
+	return changes, true
 }
 
 func laterOf(a, b time.Time) time.Time {
