Don't refuse plans for a handover when no coordinator responds

Cause: a plan whose coordinators are silent runs at the host itself, whose own check every 250 ms handed it over again as long as it had not begun: to one that is silent, or to nobody where none is known.

Change: such a plan is tried once more at the coordinators and then stays where it runs; nothing is handed over to nobody.

--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -191,7 +191,13 @@
 		return Results{}, refusal
 	}
 	g := d.currentDivision().ofZone(d.cfg.Zone)
-	return d.scheduler(groupName(g)).Execute(ctx, p)
+	results, err := d.scheduler(groupName(g)).Execute(ctx, p)
+	if errors.Is(err, errHandedOver) && !p.HandedOver {
+		// A coordinator responds again, and this host has given the plan up for it.
+		p.HandedOver = true
+		return d.Execute(ctx, p)
+	}
+	return results, err
 }
 
 // finalError wraps an outcome that no other coordinator would change.
--- a/internal/stagework/handover.go
+++ b/internal/stagework/handover.go
@@ -47,10 +47,13 @@
 // coordinates, and hands over the plans of the others.
 func (d *Dispatcher) updateCoordination() {
 	self := d.cfg.Peers.Self()
-	coordinators := make(map[string]string) // by group
+	// coordinators holds the coordinator of each group: this host if none is known, so
+	// that its plans are not handed over to nobody.
+	coordinators := make(map[string]string)
 	for _, g := range d.currentDivision() {
 		hosts := d.cfg.Peers.Coordinators(g.name, g.zones)
 		if len(hosts) == 0 {
+			coordinators[g.name] = self
 			continue
 		}
 		coordinators[g.name] = hosts[0]
--- a/internal/stagework/handover_test.go
+++ b/internal/stagework/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,3 +88,46 @@
 		is.Equal(got.Coordinator, "b") // a plan is handed over only once
 	})
 }
+
+// TestPlansWithoutACoordinatorAreNotRefusedForAHandover guards against callers that are
+// refused because the host that runs their plan, as no coordinator responds, hands it over:
+// to a coordinator that does not respond, to one that has returned, or to nobody.
+func TestPlansWithoutACoordinatorAreNotRefusedForAHandover(t *testing.T) {
+	for name, returned := range map[string][]string{"none responds": nil, "one returns": {"a", "b"}} {
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, ", listed ", listed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					endpoints := newFakeEndpoints()
+					peers := newFakePeers("a", "b", "c")
+					dispatchers := newDispatchers(endpoints, peers)
+					ctx, end := context.WithCancel(t.Context())
+					defer end()
+					go dispatchers["c"].Run(ctx)
+					peers["c"].unlisted["c"] = true
+					for _, id := range []string{"a", "b"} {
+						peers["c"].unreachable[id] = true
+						peers["c"].unlisted[id] = !listed
+					}
+					errs := make(chan error, 40)
+					for i := range 40 { // 15 can start at once
+						go func() {
+							_, err := dispatchers["c"].Execute(ctx, newPlan(fmt.Sprint(i), 20*time.Second))
+							errs <- err
+						}()
+					}
+					<-time.After(100 * time.Millisecond)
+					peers["c"].mu.Lock()
+					for _, id := range returned {
+						delete(peers["c"].unreachable, id)
+						delete(peers["c"].unlisted, id)
+					}
+					peers["c"].mu.Unlock()
+					for range 40 {
+						is.NoErr(<-errs)
+					}
+				})
+			})
+		}
+	}
+}
