Make fewer calls of the store when hosts start

Cause: until its connection to the others was ready, each host that had just started watched the store itself, five times at once, while all others registered; and it read its own entry before it wrote it.

Change: it waits for the connection, up to 3 s after its start; in a large zone its own watches don't burst; the entry is read only if the first write finds one.

Measured: TestHostsThatStartMakeFewCalls fails without the wait and the burst.

--- a/internal/entry/sharing.go
+++ b/internal/entry/sharing.go
@@ -90,6 +90,9 @@
 		return nil, errors.Wrap(err, "encode request for changes")
 	}
 	raw, err := s.group.AskOften(ctx, host, kindChanges, payload)
+	if verdict.From(err) != nil && verdict.From(err).Code == verdict.CodeNotReady {
+		return nil, facts.ErrNotConnected
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/facts/follow.go
+++ b/internal/facts/follow.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/time/rate"
 
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -37,17 +38,25 @@
 	// back, and awayProbeInterval the least time between two own calls meanwhile.
 	awayInterval      = 400 * time.Millisecond
 	awayProbeInterval = 3 * time.Second
+	// joinTime is how long after its start a host waits for its connection to the others
+	// before it watches the store itself, and joinInterval the time between two attempts.
+	joinTime     = 3 * time.Second
+	joinInterval = 100 * time.Millisecond
 	// returnSpread is the time over which hosts read the store after it is back.
 	returnSpread = 300 * time.Millisecond
 )
 
+// ErrNotConnected is the error of Peers.Changes while this host can't send requests to any
+// other one.
+var ErrNotConnected = errors.New("not connected to the other hosts yet")
+
 // Peers are the other hosts as a Replica uses them.
 type Peers interface {
 	// Followed returns the hosts from which this one is to learn what changes in the
 	// store, in order of preference; none if it is to watch the store itself.
 	Followed() []string
 	// Changes calls Replica.Changes on another host. It returns an error if there is no
-	// response before ctx ends.
+	// response before ctx ends, ErrNotConnected if the request can't be sent to any host.
 	Changes(ctx context.Context, host string, after port.StorePosition, wait time.Duration) (*Changes, error)
 }
 
@@ -59,13 +68,14 @@
 	// avoided holds until when hosts are not asked, and alone until when none is.
 	avoided    map[string]time.Time
 	alone      time.Time
+	startedAt  time.Time
 	retryDelay time.Duration
 	watches    *rate.Limiter
 }
 
 // followStore follows the store until ctx ends.
 func (r *Replica) followStore(ctx context.Context) {
-	f := &follower{Replica: r, avoided: make(map[string]time.Time), retryDelay: minRetryDelay, watches: rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)}
+	f := &follower{Replica: r, avoided: make(map[string]time.Time), startedAt: r.cfg.Clock.Now(), retryDelay: minRetryDelay, watches: rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)}
 	for ctx.Err() == nil {
 		followed := f.followed()
 		f.setWatchesStore(len(followed) == 0)
@@ -119,6 +129,8 @@
 		f.cfg.Log.Info("changes not remembered by another host, reading all keys", slog.String("host", host), slog.Int64("after", f.position.Revision), slog.Int64("epoch", f.position.Epoch))
 		f.position = port.StorePosition{}
 		port.Sleep(ctx, rand.N(returnSpread))
+	case errors.Is(err, ErrNotConnected) && f.cfg.Clock.Now().Sub(f.startedAt) < joinTime:
+		port.Sleep(ctx, joinInterval)
 	case err != nil:
 		f.cfg.Log.Info("followed host does not answer", slog.String("host", host), slog.Any("error", err))
 		now := f.cfg.Clock.Now()
@@ -139,6 +151,11 @@
 // has a cost. After a failure it waits until the next call may succeed.
 func (f *follower) callStore(ctx context.Context) {
 	f.watches.SetLimit(rate.Every(watchInterval(len(f.Current().Hosts))))
+	f.watches.SetBurst(watchBurst)
+	if f.cfg.Peers != nil && len(f.cfg.Peers.Followed()) > 0 {
+		// Many hosts are in this case at the same time, for example after a start.
+		f.watches.SetBurst(1)
+	}
 	if f.watches.Wait(ctx) != nil {
 		return
 	}
--- a/internal/facts/follow_test.go
+++ b/internal/facts/follow_test.go
@@ -53,9 +53,11 @@
 	// peersCut ones reach no other host. noticedAt is when the others suspect it.
 	frozen, storeCut, peersCut bool
 	noticedAt                  time.Time
-	calls                      int
-	disturbedUntil             time.Time
-	version                    int64
+	// connectedAt is from when on the host can send requests to others.
+	connectedAt    time.Time
+	calls          int
+	disturbedUntil time.Time
+	version        int64
 }
 
 func newFollowFleet(t *testing.T, ctx context.Context, hosts int, seed uint64) *followFleet {
@@ -64,6 +66,7 @@
 	f.versions = append(f.versions, time.Now())
 	for i := range hosts {
 		h := &followHost{fakeStore: f.store, fleet: f, id: i}
+		h.connectedAt = time.Now().Add(500 * time.Millisecond)
 		h.replica = New(Config{Store: h, Decoder: testDecoder{}, Observer: &recordingObserver{}, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler), Peers: h})
 		f.hosts = append(f.hosts, h)
 	}
@@ -137,6 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if time.Now().Before(h.connectedAt) {
+		return nil, ErrNotConnected
+	}
 	o := h.fleet.hosts[n]
 	port.Sleep(ctx, 3*time.Millisecond)
 	c := o.replica.Changes(ctx, after, wait)
@@ -350,6 +356,26 @@
 	})
 }
 
+// TestHostsThatStartMakeFewCalls guards against watches of the store by all hosts while they
+// start and are not connected to each other yet.
+func TestHostsThatStartMakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, start = 39, 3 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFollowFleet(t, ctx, hosts, 1)
+		for range int(start / (50 * time.Millisecond)) {
+			f.publish()
+			advance(50 * time.Millisecond)
+			f.check(true)
+		}
+		if calls, most := f.calls(), hosts+fleetWatchers*(watchBurst+int(start/minWatchInterval)+1); calls > most {
+			t.Errorf("%d calls of the store in the first %v, want at most %d", calls, start, most)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestHostsOfOlderBuildsAreNotFollowed guards against hosts that wait for one that does not
 // know the request.
 func TestHostsOfOlderBuildsAreNotFollowed(t *testing.T) {
--- a/internal/peering/entry.go
+++ b/internal/peering/entry.go
@@ -132,18 +132,14 @@
 	if err != nil {
 		return port.Lease{}, err
 	}
-	name := g.cfg.KeyPrefix + hostKeyPrefix + g.cfg.Self.ID
-	items, _, err := g.cfg.Store.Range(callCtx, name)
-	if err != nil {
-		return port.Lease{}, err
-	}
-	prevRevision := int64(0)
-	for _, i := range items {
-		if i.Key == name {
-			prevRevision = i.Revision
+	// An entry of an earlier start is rare: it is read only if the first write fails for it.
+	revision, err := g.writeEntry(callCtx, 0, lease)
+	if errors.Is(err, port.ErrConflict) {
+		var former int64
+		if former, err = g.formerEntry(callCtx); err == nil {
+			revision, err = g.writeEntry(callCtx, former, lease)
 		}
 	}
-	revision, err := g.writeEntry(callCtx, prevRevision, lease)
 	if err != nil {
 		return port.Lease{}, err
 	}
@@ -154,6 +150,18 @@
 	return lease, nil
 }
 
+// formerEntry returns the revision of this host's entry in the store, 0 if there is none.
+func (g *Group) formerEntry(ctx context.Context) (int64, error) {
+	name := g.cfg.KeyPrefix + hostKeyPrefix + g.cfg.Self.ID
+	items, _, err := g.cfg.Store.Range(ctx, name)
+	for _, i := range items {
+		if i.Key == name {
+			return i.Revision, err
+		}
+	}
+	return 0, err
+}
+
 // ClaimCoordination records in this host's entry that it is the coordinator of a
 // group, so that the other hosts keep using it as such. It does nothing before the host
 // is registered, while it is leaving, or once a claim is written, also of another
