Don't take a second copy of a stage call's response for that of the next

Cause: responses to stage calls name no request. An endpoint that sent one twice, late, on a connection in use again gave the next request the results of the one before; a response for another number of pieces left its connection in use while its own response was still on the way.

--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -52,6 +52,10 @@
 // Call.Matches returned false.
 var ErrUnexpectedResponse = errors.New("connection carried only responses to other calls")
 
+// ErrOtherCall is returned by Call.Read for a response that it found to belong to an earlier
+// call. The response is discarded, and Read is called with the next one.
+var ErrOtherCall = errors.New("response to another call")
+
 // Config configures a Pool. Zero values select the defaults.
 type Config struct {
 	// MaxIdlePerAddress limits the idle connections to one address. Connections in use
@@ -135,7 +139,8 @@
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
 	// Read receives the response with its body unread; the response is valid until Read
-	// returns. If Read returns an error, Exchange returns it and closes the connection.
+	// returns. If Read returns an error, Exchange returns it and closes the connection,
+	// except for ErrOtherCall.
 	Read func(*fasthttp.Response) error
 }
 
@@ -203,7 +208,10 @@
 		}
 		c.attachBody(resp, call.NoBody)
 		if call.Matches == nil || call.Matches(resp) {
-			return readResponse(c, resp, call)
+			reusable, err := readResponse(c, resp, call)
+			if !errors.Is(err, ErrOtherCall) {
+				return reusable, err
+			}
 		}
 		// The call's own response follows, so that a silence is no reason to give up.
 		c.limitArrival(discardTimeout)
