Answer requests that wait for another endpoint when their host stops

Cause: at the end of the shutdown grace only exchanges in their stages were refused. One whose attempt had been given up, and which waited for an endpoint that takes it, was cut without an answer.

Change: these end too, with a response that says that an endpoint may have run them.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -345,7 +345,7 @@
 	n.callerServer.CloseIdle()
 	deadline := startedAt.Add(n.settings.ShutdownGrace - shutdownMargin)
 	n.awaitRequests(deadline.Add(-refusalTime))
-	n.server.RefuseStaged()
+	n.server.RefuseWaiting()
 	n.awaitRequests(deadline)
 	interrupted := n.callerServer.InFlight()
 	n.callerServer.Close()
--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -270,13 +270,21 @@
 				clear(r.attempted) // an endpoint that refused once, or was silent, may do
 			}
 		}
-		if !r.mustGoOn || r.failedPlans >= maxFailedPlans || ctx.Err() != nil {
+		if !r.mustGoOn || r.failedPlans >= maxFailedPlans || ctx.Err() != nil || r.ending.Err() != nil {
 			return nil, err
 		}
-		port.Sleep(ctx, failoverInterval<<r.failedPlans)
+		r.pause(ctx, failoverInterval<<r.failedPlans)
 	}
 }
 
+// pause waits until d has passed, ctx ends or waiting exchanges are refused.
+func (r *exchangeRun) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.ending, cancel)()
+	port.Sleep(ctx, d)
+}
+
 // takeSuccessor returns the successor of the attempt that was given up, nil if there is
 // none or the exchange may not go on there: the stream may have begun, at another software
 // version, after the successor was picked.
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -104,16 +104,17 @@
 }
 
 // awaitRetry waits until the budget has a retry for an exchange that must go on after a
-// refusal. It reports false for other exchanges and at the end of ctx.
+// refusal. It reports false for other exchanges, at the end of ctx, and once waiting
+// exchanges are refused.
 func (r *exchangeRun) awaitRetry(ctx context.Context, err error) bool {
 	if !r.mustGoOn || verdict.Of(err) != verdict.NotRun {
 		return false
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && r.ending.Err() == nil {
 		if r.takeRetry() {
 			return true
 		}
-		port.Sleep(ctx, failoverInterval)
+		r.pause(ctx, failoverInterval)
 	}
 	return false
 }
--- a/internal/exchange/leaving_test.go
+++ b/internal/exchange/leaving_test.go
@@ -33,7 +33,7 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		go h.dispatcher.Run(ctx)
-		time.AfterFunc(time.Second, h.server.RefuseStaged)
+		time.AfterFunc(time.Second, h.server.RefuseWaiting)
 		c := &soakCaller{}
 		took := h.exchange(c)
 		is.Equal(verdict.Of(c.err), verdict.NotRun)
@@ -44,3 +44,30 @@
 		h.monitor.Close()
 	})
 }
+
+// TestHostThatEndsAnswersRequestsThatWaitForAnEndpoint guards against callers whose
+// connections are closed without an answer because the attempt was given up and no other
+// endpoint took the request until the host's shutdown was over.
+func TestHostThatEndsAnswersRequestsThatWaitForAnEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newScriptedHost(3, ample, rand.NewPCG(1, 1), func(r *catalog.Route) { r.Kind = catalog.Idempotent })
+		h.forward = func(ctx context.Context, n int, _ *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+			if n == 1 {
+				return silent(ctx)
+			}
+			return refusal(read)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		go h.dispatcher.Run(ctx)
+		const end = 2 * time.Second
+		time.AfterFunc(end, h.server.RefuseWaiting)
+		c := &soakCaller{}
+		took := h.exchange(c)
+		is.True(h.calls > 1) // the first attempt was given up
+		is.Equal(verdict.Of(c.err), verdict.MayHaveRun)
+		is.True(took <= end+10*time.Millisecond)
+		stop()
+		h.monitor.Close()
+	})
+}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -82,15 +82,15 @@
 	firstEventTimes map[string]time.Duration
 	// refusingNew is set once new exchanges are refused.
 	refusingNew bool
-	// ending ends once exchanges whose stages run are refused.
+	// ending ends once exchanges that are at no endpoint are refused.
 	ending    context.Context
-	endStages context.CancelFunc
+	endWaiting context.CancelFunc
 }
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	ending, endStages := context.WithCancel(context.Background())
-	return &Server{cfg: cfg, bodies: newBodyBudget(cfg.MaxHeldBytes), rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration), ending: ending, endStages: endStages}
+	ending, endWaiting := context.WithCancel(context.Background())
+	return &Server{cfg: cfg, bodies: newBodyBudget(cfg.MaxHeldBytes), rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration), ending: ending, endWaiting: endWaiting}
 }
 
 // Limits returns the current limits on callers' requests.
@@ -108,9 +108,10 @@
 	s.refusingNew = true
 }
 
-// RefuseStaged makes the server refuse the exchanges whose stages still run: their callers
-// hear that no endpoint has run them. It does not wait for the refusals.
-func (s *Server) RefuseStaged() { s.endStages() }
+// RefuseWaiting makes the server end the exchanges that are at no endpoint: those whose stages
+// still run, and those that wait for another endpoint after an attempt. Their callers hear
+// whether an endpoint may have run them. It does not wait for the responses.
+func (s *Server) RefuseWaiting() { s.endWaiting() }
 
 // errHostLeaving is the refusal of a host that is shutting down.
 var errHostLeaving = verdict.New(verdict.CodeNotReady, verdict.NotRun, "host is leaving").WithRetryAfter(notReadyRetry / 4)
