--- a/internal/exchange/stages.go
+++ b/internal/exchange/stages.go
@@ -7,6 +7,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/stagework"
 )
 
@@ -101,6 +102,9 @@
 		if r.ending.Err() != nil && ctx.Err() == nil {
 			return errHostLeaving
 		}
+		if e := verdict.From(err); e.Verdict == verdict.NotRun && e.RetryAfter == 0 {
+			return e.WithRetryAfter(busyRetry)
+		}
 		return err
 	}
 	r.setResults(stageResults{results, append([]string{}, results.Handles...), results.Zone})
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -255,7 +255,7 @@
 	case port.PieceInputMissing:
 		code = verdict.CodeConflict
 	}
-	return stageResult{}, verdict.New(code, verdict.NotRun, "stage failed: "+string(f.Failure)).WithRetryAfter(minRetryAfter)
+	return stageResult{}, verdict.New(code, verdict.NotRun, "stage failed: "+string(f.Failure))
 }
 
 // cancel removes a job from its queue and frees its results.
