Survive malformed plans and panics of handlers

Cause: a plan of another host with a negative or huge number of pieces ended the process that coordinates (makeslice), as would any panic in a handler of peer requests.

--- a/internal/adapter/peer/conn.go
+++ b/internal/adapter/peer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -260,7 +261,7 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, time.Duration(f.TimeoutMs)*time.Millisecond)
 	defer cancel()
-	payload, err := h.fn(ctx, c.session.peer, f.Payload)
+	payload, err := c.callHandler(ctx, f, h)
 	if err != nil {
 		c.sendFailure(f.ID, verdict.From(err))
 		return
@@ -273,6 +274,17 @@
 	c.enqueue(&queuedFrame{frame: frame{Kind: frameReply, ID: f.ID, Payload: payload}})
 }
 
+// callHandler calls the handler. A panic fails this request alone, with MayHaveRun.
+func (c *conn) callHandler(ctx context.Context, f frame, h handler) (payload []byte, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.transport.log.Error("handler of peer requests panicked", "kind", f.Request, "host", c.session.peer.ID, "panic", p, "stack", string(debug.Stack()))
+			err = verdict.New(verdict.CodeInternal, verdict.MayHaveRun, "handler failed")
+		}
+	}()
+	return h.fn(ctx, c.session.peer, f.Payload)
+}
+
 func (c *conn) sendFailure(id uint64, err *verdict.Error) {
 	c.enqueue(&queuedFrame{frame: frame{Kind: frameFailure, ID: id, Failure: encodeFailure(err)}})
 }
--- a/internal/adapter/peer/transport_test.go
+++ b/internal/adapter/peer/transport_test.go
@@ -125,6 +125,24 @@
 	a.Send(address, nil)
 }
 
+// TestPanicOfAHandlerFailsItsRequestAlone guards against a message that ends the process
+// that receives it.
+func TestPanicOfAHandlerFailsItsRequestAlone(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestTransport(t, "a", nil, testKey), newTestTransport(t, "b", nil, testKey)
+	b.Handle("panic", func(context.Context, port.Member, []byte) ([]byte, error) { panic("unexpected") })
+	b.Handle("echo", func(_ context.Context, _ port.Member, payload []byte) ([]byte, error) { return payload, nil })
+	b.Start()
+	for range 3 {
+		_, err := a.Ask(t.Context(), b.Self().Address, "panic", nil)
+		is.Equal(verdict.Of(err), verdict.MayHaveRun)
+		is.Equal(verdict.From(err).Code, verdict.CodeInternal)
+		got, err := a.Ask(t.Context(), b.Self().Address, "echo", []byte("x"))
+		is.NoErr(err)
+		is.Equal(string(got), "x")
+	}
+}
+
 // A request that is cancelled while it is queued is never written.
 func TestCancelledQueuedRequestIsNotSent(t *testing.T) {
 	is := is.New(t)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -83,7 +83,7 @@
 	// refusingNew is set once new exchanges are refused.
 	refusingNew bool
 	// ending ends once exchanges that are at no endpoint are refused.
-	ending    context.Context
+	ending     context.Context
 	endWaiting context.CancelFunc
 }
 
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -25,6 +25,11 @@
 	// above which late plans are not started: the results of their first stage
 	// would expire before the downstream stage reads them.
 	backlogThreshold = 400 * time.Millisecond
+	// maxStages, maxPieces and maxResultBytes bound the stages of a plan, the pieces of a
+	// stage and the size of a result. Plans beyond them are malformed.
+	maxStages      = 64
+	maxPieces      = 1 << 14
+	maxResultBytes = 1 << 40
 	// maxPlanAttempts bounds how often a plan is run, counting restarts because
 	// inputs were lost.
 	maxPlanAttempts = 3
@@ -92,17 +97,23 @@
 	Group string `cbor:"5,keyasint,omitempty"`
 }
 
-// dependenciesOrdered reports whether each stage depends only on earlier
-// stages.
-func (p *Plan) dependenciesOrdered() bool {
+// validate returns a *verdict.Error if the plan is malformed. Plans also come from hosts of
+// other builds.
+func (p *Plan) validate() error {
+	if len(p.Stages) > maxStages {
+		return verdict.New(verdict.CodeBadInput, verdict.NotRun, "plan has too many stages")
+	}
 	for i, s := range p.Stages {
+		if s.Pieces < 0 || s.Pieces > maxPieces || s.ResultBytes < 0 || s.ResultBytes > maxResultBytes {
+			return verdict.New(verdict.CodeBadInput, verdict.NotRun, "number or size of pieces is out of bounds")
+		}
 		for _, dependency := range s.DependsOn {
 			if dependency < 0 || dependency >= i {
-				return false
+				return verdict.New(verdict.CodeNotReady, verdict.NotRun, "stages need each other in a circle")
 			}
 		}
 	}
-	return true
+	return nil
 }
 
 // terminalStages returns for each stage whether no other stage depends on it.
@@ -147,8 +158,8 @@
 // Execute admits a plan and runs its stages on this host's queues, again if inputs
 // were lost. The error is a *verdict.Error with NotRun: the pieces may be run again.
 func (sc *Scheduler) Execute(ctx context.Context, p *Plan) (Results, error) {
-	if !p.dependenciesOrdered() {
-		return Results{}, verdict.New(verdict.CodeNotReady, verdict.NotRun, "stages need each other in a circle")
+	if err := p.validate(); err != nil {
+		return Results{}, err
 	}
 	forecast, err := sc.admit(p)
 	if err != nil {
