Don't take a host that was paused for an overloaded one

Cause: the delay that a freeze of 3.7 s shows decayed to the threshold only after 1.7 s.

Change: a sample counts as 0.3 s at most, which decays within 0.6 s.

Measured: TestPausedHostIsNotOverloadedForLong failed before.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -22,6 +22,9 @@
 	// decay is the factor by which the delay decreases with each sample that is
 	// shorter, so that the worst delay of the last half second counts.
 	decay = 0.9
+	// maxSample bounds a sample: a longer one is a pause of the host, after which its
+	// processor may well keep up.
+	maxSample = 300 * time.Millisecond
 	// logInterval is the shortest time between two log messages.
 	logInterval = time.Second
 )
@@ -63,7 +66,7 @@
 
 func (m *Monitor) record(sample time.Duration) {
 	decayed := int64(decay * float64(m.delay.Load()))
-	m.delay.Store(max(decayed, int64(sample)))
+	m.delay.Store(max(decayed, int64(min(sample, maxSample))))
 	if m.scope != nil {
 		m.scope.Histogram("processing_delay_seconds", delayBuckets).RecordDuration(max(0, sample))
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -24,3 +24,18 @@
 	}
 	is.True(!m.Overloaded())
 }
+
+// TestPausedHostIsNotOverloadedForLong guards against a host that refuses work for seconds
+// after it was frozen, though its processor is idle.
+func TestPausedHostIsNotOverloadedForLong(t *testing.T) {
+	is := is.New(t)
+	for _, pause := range []time.Duration{time.Second, 4 * time.Second, time.Minute} {
+		m := New(port.SystemClock{}, slog.New(slog.DiscardHandler), nil)
+		m.record(pause)
+		is.True(m.Overloaded()) // requests have piled up
+		for range int(600 * time.Millisecond / sampleInterval) {
+			m.record(0)
+		}
+		is.True(!m.Overloaded())
+	}
+}
