Name a loss of endpoints as the reason only where nothing else ended a blame

Cause: settle replaced the reason of a clear by that of a loss if crashes at another service were left. No change of behaviour but for the log line.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -7,6 +7,7 @@
 // far, so that what crashing requests share with sound ones is not blamed for long. A
 // trait with enough crashes is blamed, and requests with it are not to be sent. Each
 // blame lapses after a time and comes back, for longer, with the first further crash.
+// Endpoints that were lost together are not enough for a blame.
 //
 // Hosts tell each other the evidence (Reports, Merge), and each decides by itself: no
 // host has to add up for the others, and none needs the store. Evidence is merged by
@@ -267,7 +268,7 @@
 	}
 	l.sweptAt = now
 	for t, e := range l.traits {
-		l.settle(t, e, now, "evidence expired")
+		l.settle(t, e, now, reasonExpired)
 	}
 }
 
@@ -306,6 +307,9 @@
 	return time.Duration(xxhash.Sum64String(l.cfg.Host+"\x00"+string(t)) % uint64(lapseSpread))
 }
 
+// reasonExpired is the reason for the end of a blame whose evidence has expired.
+const reasonExpired = "evidence expired"
+
 // settle works out anew whether a trait is blamed, logs it if that has changed, with
 // the reason for an end, and removes evidence that is empty. l.mu must be held.
 func (l *Ledger) settle(t Trait, e *evidence, now time.Time, reason string) {
@@ -327,7 +331,7 @@
 		switch {
 		case e.crashes >= t.threshold():
 			reason = "lapsed"
-		case e.hasCrashes():
+		case e.hasCrashes() && (reason == "" || reason == reasonExpired):
 			reason = "endpoints were lost together"
 		}
 		l.cfg.Log.Info("requests are no longer refused for crashes", slog.String("trait", string(t)), slog.String("reason", reason),
