Review case 3: streams go on at another software version

Taken from KNOWN-RED.txt (TestNoStreamMixesVersions): a host that is cut off and has not heard of a new version resumes streams at the only one that it knows.

--- a/review/standins/host.go
+++ b/review/standins/host.go
@@ -17,6 +17,7 @@
 type Host struct {
 	Name, Zone, IP string
 	Frontend       string
+	Peers          string // the address for other hosts
 	ready          string
 	settings, log  string // the paths of its files
 	cmd            *exec.Cmd
@@ -110,7 +111,7 @@
 			return nil, err
 		}
 	}
-	h := &Host{Name: name, Zone: zone, IP: ip, Frontend: fmt.Sprintf("%s:%d", ip, ports[1]), ready: fmt.Sprintf("%s:%d", ip, ports[2])}
+	h := &Host{Name: name, Zone: zone, IP: ip, Frontend: fmt.Sprintf("%s:%d", ip, ports[1]), Peers: fmt.Sprintf("%s:%d", ip, ports[0]), ready: fmt.Sprintf("%s:%d", ip, ports[2])}
 	file := filepath.Join(dir, name+".toml")
 	text := fmt.Sprintf(settings, name, ip, zone, ports[0], ports[0]+15, h.Frontend, h.ready, storeAddress)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -60,6 +60,7 @@
 	"stage-copy":   stageCopy,
 	"probe-copy":   probeCopy,
 	"large-bodies": largeBodies,
+	"versions":     versions,
 	"unframed":     unframed,
 }
 
