--- a/review/standins/host.go
+++ b/review/standins/host.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -123,6 +124,16 @@
 
 // restart starts the process, again if it has ended.
 func (h *Host) restart() error {
+	if h.cmd != nil {
+		// Only the first start of the whole system has this setting.
+		text, err := os.ReadFile(h.settings)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(h.settings, bytes.Replace(text, []byte("bootstrap = true"), []byte("bootstrap = false"), 1), 0o600); err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
