--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -7,22 +7,20 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
 // Request is a request as a server has read it.
 type Request struct {
 	*http.Request
-	Raw  []byte // the body
-	Conn net.Conn
+	Raw []byte // the body
 	// Gone is closed once the caller has closed the channel.
 	Gone <-chan struct{}
 }
 
-// Handler answers a request. It returns the bytes of the answer, which end the channel if
-// closes is set, and the bytes of an extra copy that is sent late: before the next answer
-// on the channel, as soon as the next request has arrived.
+// Handler writes the answer to a request to w. It returns whether the answer ends the channel,
+// and an extra copy that is sent late, nil for none: as soon as the next request on the channel
+// has arrived, before the answer to that.
 type Handler func(r *Request, w io.Writer) (closes bool, lateCopy []byte)
 
 // Server is the HTTP/1.1 part of a stand-in server, one request at a time on a channel.
@@ -33,8 +31,6 @@
 	Address           string
 	handler           Handler
 	born              int64
-	mu                sync.Mutex
-	conns             map[net.Conn]bool
 }
 
 func startServer(id, service, zone string, slots int, handler Handler) (*Server, error) {
@@ -42,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Zone: zone, Slots: slots, Address: l.Addr().String(), handler: handler, born: time.Now().UnixMilli(), conns: make(map[net.Conn]bool)}
+	s := &Server{ID: id, Service: service, Zone: zone, Slots: slots, Address: l.Addr().String(), handler: handler, born: time.Now().UnixMilli()}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -108,7 +104,7 @@
 				}
 			}
 		}()
-		closes, lateCopy := s.handler(&Request{hr, raw, c, gone}, c)
+		closes, lateCopy := s.handler(&Request{hr, raw, gone}, c)
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		<-peeked
 		_ = c.SetReadDeadline(time.Time{})
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -78,15 +78,6 @@
 	s.notifyLocked()
 }
 
-// Remove removes a key.
-func (s *Store) Remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.removeLocked(key)
-	s.notifyLocked()
-}
-
 func (s *Store) putLocked(key string, value []byte, leaseID int64) {
 	created := s.revision
 	if old := s.items[key]; old != nil {
