Don't resume streams by the facts of a host that may be out of step

Cause: without a record, a stream was taken to have begun at the single version of the host's own facts if these were less than 3 s old and no other host responded. The stream can be younger than the facts. A host that stood still takes a late response of the store for a new confirmation, so that its facts are even older than they say.

Change: the store has an entry for each version at which streams may begin, written before the first one does. A host that finds no record reads the entries after the caller's attempt. Without the store, all hosts that respond have to have known a single version for long enough, and at most one of those that hold the record may be silent.

--- a/internal/core/origin/origin.go
+++ b/internal/core/origin/origin.go
@@ -35,6 +35,8 @@
 	return Origin{e.Service, e.SoftwareVersion, e.ID, e.StartedUnixMs, at.UnixMilli()}
 }
 
+func (o Origin) version() Version { return Version{o.Service, o.SoftwareVersion} }
+
 // Known reports whether the origin is known.
 func (o Origin) Known() bool { return o.Service != "" }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -157,9 +157,10 @@
 	n.relay.ObserveNotices(n.observeNotice)
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
-		CrashEntryName: crashing.EntryName, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
+		CrashEntryName: crashing.EntryName, VersionEntryName: origins.VersionEntryName, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
 	sharing.handleRequests(n.replica)
-	n.origins = origins.New(origins.Config{Peers: group, Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
+	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, MinLease: s.MinLease, StoreAvailable: n.replica.StoreAvailable,
+		Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: n.relay, Health: n.health, RateLimits: n.rateLimits, Advisories: n.advisories, LookupService: n.stageService,
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
@@ -179,6 +180,7 @@
 	n.startTask(ctx, group.Run)
 	n.startTask(ctx, n.stages.Run)
 	n.startTask(ctx, n.crashes.Run)
+	n.startTask(ctx, n.origins.Run)
 	n.startTask(ctx, n.watchIsolation)
 	n.startTask(ctx, n.overload.Run)
 	n.serveMetrics(ctx)
--- a/internal/exchange/origin.go
+++ b/internal/exchange/origin.go
@@ -42,12 +42,15 @@
 	return slices.ContainsFunc(r.cfg.Snapshot().Usable[o.Service], o.Contradicts)
 }
 
-// mayContinue returns those of the endpoints at which the stream may go on: all before
+// mayContinue returns those of the endpoints at which the stream may go on, or begin before
 // its first event.
 func (r *exchangeRun) mayContinue(endpoints []*catalog.Endpoint) []*catalog.Endpoint {
 	r.attemptMu.Lock()
 	begun := r.origin
 	r.attemptMu.Unlock()
+	if begun == nil && r.route.ResumableStream() {
+		return r.cfg.Origins.MayBegin(endpoints)
+	}
 	if begun == nil {
 		return endpoints
 	}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -95,6 +95,9 @@
 	// CrashEntries holds the values of the entries of what in requests crashes
 	// endpoints, by name.
 	CrashEntries map[string]string
+	// VersionEntries holds the values of the entries of software versions at which streams
+	// may have begun, by name.
+	VersionEntries map[string]string
 	// ConfirmedAt is when the store last confirmed, to this host or to the one whose
 	// state this host fetched, that this state was the newest. It is zero until a
 	// state is known.
@@ -149,6 +152,8 @@
 	// CrashEntryName returns the name of an entry of what in requests crashes endpoints,
 	// and reports whether the key is one of such an entry. It may be nil.
 	CrashEntryName func(key string) (name string, ok bool)
+	// VersionEntryName is the same for entries of software versions.
+	VersionEntryName func(key string) (name string, ok bool)
 	// FetchFromPeer may be nil; then no state is fetched from other hosts.
 	FetchFromPeer PeerFetcher
 	// Peers may be nil; then this host watches the store itself at all times.
--- a/internal/facts/restore.go
+++ b/internal/facts/restore.go
@@ -77,7 +77,7 @@
 		return 0
 	}
 	_, isHost := s.hosts[key]
-	_, isRefusal := cfg.crashEntryName(key)
+	_, isRefusal := entryName(cfg.CrashEntryName, key)
 	kind, _ := cfg.Decoder.ClassifyKey(key)
 	switch {
 	case s.endpoints[key] != nil || isHost:
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -36,6 +36,8 @@
 	// restore, is removed unless it is written again.
 	removals     map[string]time.Time
 	crashEntries map[string]string
+	// versionEntries holds the values of the entries of software versions by name.
+	versionEntries map[string]string
 	// tombstones holds the items removed of late, and heldBack those that a restored
 	// store holds although they had been removed; both by key.
 	tombstones map[string]tombstone
@@ -45,7 +47,7 @@
 func newState() *state {
 	return &state{evacuatedZones: make(map[string]bool), endpoints: make(map[string]*catalog.Endpoint), hosts: make(map[string]Host),
 		items: make(map[string]port.KeyValue), undecodable: make(map[string]bool), removals: make(map[string]time.Time),
-		crashEntries: make(map[string]string), tombstones: make(map[string]tombstone), heldBack: make(map[string]heldItem)}
+		crashEntries: make(map[string]string), versionEntries: make(map[string]string), tombstones: make(map[string]tombstone), heldBack: make(map[string]heldItem)}
 }
 
 // apply applies an update of the store or of another host, unless it is older
@@ -160,19 +162,32 @@
 	case port.KeyEndpoint:
 		s.putEndpoint(cfg, item, afterFirstRead)
 	default:
-		if name, ok := cfg.crashEntryName(item.Key); ok {
-			s.crashEntries[name] = string(item.Value)
+		if entries, name := s.entriesOf(cfg, item.Key); entries != nil {
+			entries[name] = string(item.Value)
 			return
 		}
 		s.putHost(cfg, item)
 	}
 }
 
-func (cfg Config) crashEntryName(key string) (string, bool) {
-	if cfg.CrashEntryName == nil {
+// entriesOf returns the entries to which a key belongs and its name among them; nil if it is
+// the key of another kind.
+func (s *state) entriesOf(cfg Config, key string) (entries map[string]string, name string) {
+	if name, ok := entryName(cfg.CrashEntryName, key); ok {
+		return s.crashEntries, name
+	}
+	if name, ok := entryName(cfg.VersionEntryName, key); ok {
+		return s.versionEntries, name
+	}
+	return nil, ""
+}
+
+// entryName calls nameOf, which may be nil.
+func entryName(nameOf func(key string) (string, bool), key string) (string, bool) {
+	if nameOf == nil {
 		return "", false
 	}
-	return cfg.CrashEntryName(key)
+	return nameOf(key)
 }
 
 // putConfig replaces the configuration, unless the item can't be decoded or its
@@ -247,8 +262,8 @@
 		delete(s.endpoints, key)
 	case port.KeyOther:
 		delete(s.hosts, key)
-		if name, ok := cfg.crashEntryName(key); ok {
-			delete(s.crashEntries, name)
+		if entries, name := s.entriesOf(cfg, key); entries != nil {
+			delete(entries, name)
 		}
 	}
 }
@@ -310,7 +325,7 @@
 // snapshot returns a snapshot of the state.
 func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
-		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), CrashEntries: maps.Clone(s.crashEntries),
+		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), CrashEntries: maps.Clone(s.crashEntries), VersionEntries: maps.Clone(s.versionEntries),
 		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Position: s.position}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
 		e := s.endpoints[key]
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -12,6 +14,16 @@
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
+const (
+	// readDelay is how long a search waits for the hosts that it asked before it reads the
+	// store.
+	readDelay = 30 * time.Millisecond
+	// positionTimeout bounds how long a search waits until this host has learned what the
+	// store holds, and positionInterval is the time between two looks.
+	positionTimeout  = 400 * time.Millisecond
+	positionInterval = 10 * time.Millisecond
+)
+
 // getRequest asks a host for the record of an attempt of a route.
 type getRequest struct {
 	Attempt string `cbor:"1,keyasint"`
@@ -27,10 +39,19 @@
 	Sole      origin.Origin `cbor:"4,keyasint,omitempty"`
 	// Several means that streams of the route may have begun at several versions.
 	Several bool `cbor:"5,keyasint,omitempty"`
+	// Single is the origin of all streams of the route, if HasSingle is set, by facts that
+	// the store confirmed some minutes ago at most.
+	HasSingle bool          `cbor:"6,keyasint,omitempty"`
+	Single    origin.Origin `cbor:"7,keyasint,omitempty"`
 }
 
 // Find returns the origin of the stream that an attempt began; attempt is empty if the
 // caller names none. It reports false if the origin is not known.
+//
+// Without a record the stream began while there was a single version, or its record is lost.
+// The facts of a host that is out of step, or has just started, can't tell these cases apart.
+// So the origin is the single version only if the store, read after the call, knows of no
+// other one, or, without the store, if all hosts that would hold the record say so.
 func (r *Registry) Find(ctx context.Context, route, attempt string) (origin.Origin, bool) {
 	own := r.lookUp(getRequest{attempt, route})
 	if own.HasRecord {
@@ -40,31 +61,113 @@
 	if attempt == "" {
 		others = nil
 	}
+	readCtx, stopReading := context.WithCancel(ctx)
+	defer stopReading()
+	asked := make(chan struct{})
+	read := r.startReading(readCtx, asked)
 	answers := r.askAll(ctx, others, getRequest{attempt, route})
 	if answers.record != nil {
 		return known(answers.record.Origin)
 	}
-	// Without a record the stream began while there was a single version, or its record
-	// is lost. In the second case this host or another one knows of two versions.
 	if own.Several || answers.several {
 		return origin.Origin{}, false
 	}
-	sole, ok := own.Sole, own.HasSole
-	for _, o := range answers.soles {
-		if ok && o != sole || r.excludes(route, o) {
-			return origin.Origin{}, false
+	close(asked)
+	stored, err := read()
+	var o origin.Origin
+	var ok bool
+	if err != nil {
+		o, ok = r.soleOfHosts(route, attempt, answers)
+	} else {
+		o, ok = r.soleInStore(ctx, route, stored)
+	}
+	for _, sole := range answers.soles {
+		ok = ok && sole == o
+	}
+	if !ok || r.excludes(route, o) {
+		return origin.Origin{}, false
+	}
+	return o, true
+}
+
+// startReading reads the store once asked is closed, or after readDelay if hosts are slow to
+// answer. The function returned waits for the result.
+func (r *Registry) startReading(ctx context.Context, asked <-chan struct{}) func() (storeRead, error) {
+	var result storeRead
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		timer := time.NewTimer(readDelay)
+		defer timer.Stop()
+		select {
+		case <-asked:
+		case <-timer.C:
+		case <-ctx.Done():
+			err = ctx.Err()
+			return
 		}
-		sole, ok = o, true
+		result, err = r.readStore(ctx)
+	}()
+	return func() (storeRead, error) {
+		<-done
+		return result, err
 	}
-	if ok {
-		return sole, true
+}
+
+// soleInStore returns the origin of all streams of a route that began before the store was
+// read.
+func (r *Registry) soleInStore(ctx context.Context, route string, stored storeRead) (origin.Origin, bool) {
+	switch {
+	case !stored.versions.complete:
+		return origin.Origin{}, false
+	case len(stored.versions.versions) == 1:
+		v := stored.versions.versions[0]
+		return v.Origin(), v.Software != ""
 	}
-	// Without the store no host is sure that no version has been registered since. But
-	// then the stream would have a record, and all hosts that would hold it have none.
-	if o, ok := r.sole(route, maxSoleAge); ok && answers.responses >= replicas && answers.responses == len(others) {
-		return o, true
+	// Several services serve streams. This host knows which ones this route has led to, once
+	// it has learned all that the store held.
+	if !r.awaitPosition(ctx, stored.position) {
+		return origin.Origin{}, false
 	}
-	return origin.Origin{}, false
+	return r.sole(route, maxSoleAge)
+}
+
+// awaitPosition waits until this host has learned what the store held at a position, for
+// positionTimeout at most, and reports whether it has.
+func (r *Registry) awaitPosition(ctx context.Context, position port.StorePosition) bool {
+	for deadline := r.cfg.Clock.Now().Add(positionTimeout); ; port.Sleep(ctx, positionInterval) {
+		r.mu.Lock()
+		reached := !r.observed.Before(position)
+		r.mu.Unlock()
+		if reached || ctx.Err() != nil || r.cfg.Clock.Now().After(deadline) {
+			return reached
+		}
+	}
+}
+
+// soleOfHosts returns the origin of all streams of a route if this host and all that
+// responded know of one version only, and if at most one host does not respond of those
+// that hold the attempt's record: that may be the host that made it.
+func (r *Registry) soleOfHosts(route, attempt string, answers answers) (origin.Origin, bool) {
+	o, ok := r.sole(route, maxSoleAge)
+	var all []string
+	for id := range r.cfg.Snapshot().Hosts {
+		if id != r.cfg.HostID {
+			all = append(all, id)
+		}
+	}
+	silent := 0
+	holders := membership.SelectByRendezvous(all, attempt, askedHosts)
+	for _, id := range holders {
+		if !answers.responded[id] {
+			silent++
+		}
+	}
+	if !ok || attempt == "" || len(holders) <= replicas || silent > 1 {
+		return origin.Origin{}, false
+	}
+	return o, len(answers.singles) == len(answers.responded) && !slices.ContainsFunc(answers.singles, func(single origin.Origin) bool { return single != o })
 }
 
 // excludes reports whether this host knows of streams of a route that began elsewhere.
@@ -81,18 +184,20 @@
 	// record is the record with the highest sequence, nil if no host has one: a host that
 	// missed a record may hold an older one of the attempt.
 	record *origin.Record
-	// soles holds the origins that hosts tell to be those of all streams of the route.
-	soles []origin.Origin
+	// soles and singles hold getResponse.Sole and Single of the hosts that know them.
+	soles   []origin.Origin
+	singles []origin.Origin
 	// several means that a host knows of several versions: this one may not have learned
 	// of the newest yet.
-	several   bool
-	responses int
+	several bool
+	// responded holds the hosts that did.
+	responded map[string]bool
 }
 
 // askAll asks hosts at the same time and waits for all responses, for getTimeout at
 // most.
 func (r *Registry) askAll(ctx context.Context, hosts []string, request getRequest) answers {
-	var out answers
+	out := answers{responded: make(map[string]bool)}
 	payload, err := cbor.Marshal(request)
 	if err != nil {
 		r.cfg.Log.Error("request for a stream's origin can't be encoded", slog.Any("error", err))
@@ -100,20 +205,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, getTimeout)
 	defer cancel()
-	received := make(chan *getResponse, len(hosts))
+	type answer struct {
+		host     string
+		response *getResponse
+	}
+	received := make(chan answer, len(hosts))
 	for _, host := range hosts {
-		go func() { received <- r.ask(ctx, host, payload) }()
+		go func() { received <- answer{host, r.ask(ctx, host, payload)} }()
 	}
 	for range hosts {
-		response := <-received
+		a := <-received
+		response := a.response
 		if response == nil {
 			continue
 		}
-		out.responses++
+		out.responded[a.host] = true
 		out.several = out.several || response.Several
 		if response.HasSole {
 			out.soles = append(out.soles, response.Sole)
 		}
+		if response.HasSingle {
+			out.singles = append(out.singles, response.Single)
+		}
 		if response.HasRecord && (out.record == nil || response.Record.Sequence > out.record.Sequence) {
 			out.record = &response.Record
 		}
@@ -139,6 +252,7 @@
 func (r *Registry) lookUp(request getRequest) getResponse {
 	var response getResponse
 	response.Sole, response.HasSole = r.freshSole(request.Route)
+	response.Single, response.HasSingle = r.sole(request.Route, maxSoleAge)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response.Record, response.HasRecord = r.records.Get(request.Attempt, r.cfg.Clock.Now())
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -22,6 +22,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/origin"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -76,6 +77,15 @@
 // Config holds the dependencies of a Registry.
 type Config struct {
 	Peers Peers
+	// HostID is the id of this host.
+	HostID string
+	// Store holds the entries of versions, under KeyPrefix, the prefix of pimentorill's own
+	// keys. MinLease is the shortest lease TTL that it grants.
+	Store     port.WatchableStore
+	KeyPrefix string
+	MinLease  time.Duration
+	// StoreAvailable reports whether the store responded to the last call.
+	StoreAvailable func() bool
 	// Snapshot returns the newest snapshot, never nil.
 	Snapshot func() *facts.Snapshot
 	// StartedFirst reports, by the first snapshot with a configuration, whether the whole
@@ -90,12 +100,16 @@
 // Registry holds what this host knows of the origins of streams. It is safe for
 // concurrent use.
 type Registry struct {
-	cfg Config
+	cfg      Config
+	versions *versions
+	reads    sharedReads
 
 	mu sync.Mutex
 	// history is nil until the first snapshot with a configuration.
 	history *origin.History
-	records *origin.Records
+	// observed is the position of the newest snapshot in the history.
+	observed port.StorePosition
+	records  *origin.Records
 	// unsent holds the records, by route, of streams that began while nobody else needed
 	// to know.
 	unsent map[string][]unsentRecord
@@ -109,7 +123,7 @@
 // New returns an empty Registry and registers its handlers for requests of other
 // hosts.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, records: origin.NewRecords(), unsent: make(map[string][]unsentRecord)}
+	r := &Registry{cfg: cfg, versions: newVersions(), records: origin.NewRecords(), unsent: make(map[string][]unsentRecord)}
 	cfg.Peers.Handle(kindPut, r.handlePut)
 	cfg.Peers.Handle(kindGet, r.handleGet)
 	return r
@@ -127,13 +141,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock.Now()
+	if s.Config == nil {
+		return
+	}
+	first := r.history == nil && r.cfg.StartedFirst(s)
 	if r.history == nil {
-		if s.Config == nil {
-			return
-		}
-		r.history = origin.NewHistory(now, r.cfg.StartedFirst(s))
+		r.history = origin.NewHistory(now, first)
 	}
 	r.history.Observe(now, s.Config, s.Usable)
+	r.observed = s.Position
+	r.versions.observe(s, now, first)
 	for route, records := range r.unsent {
 		records = slices.DeleteFunc(records, func(u unsentRecord) bool { return now.After(u.expiresAt) })
 		r.unsent[route] = records
@@ -172,6 +189,12 @@
 	return r.sole(route, maxSoleAge)
 }
 
+// MayBegin returns those of a service's endpoints at which a stream may begin: all whose
+// versions have an entry in the store, or all if none has.
+func (r *Registry) MayBegin(endpoints []*catalog.Endpoint) []*catalog.Endpoint {
+	return r.versions.withEntries(endpoints)
+}
+
 // Announcement is a record on its way to other hosts.
 type Announcement struct {
 	registry *Registry
