Resume streams after all hosts were lost at once

Cause: everything that hosts knew of the origins of streams was in the memory of hosts, and so was the knowledge that a route has a single version, which is complete only after the longest stream and 10 s.

Evidence: 125 streams were refused with "software version that began the stream is not known", all in the seconds after a kill. TestStreamsGoOnAfterAllHostsWereLost failed before in its three cases with two versions: origins_test.go:418: != v1

Change: while a route has several versions, hosts write the records of the streams that they began to the store, after the first event, together and a few times a second. Hosts learn them with what they read and watch anyway. A host that starts knows the versions of before from the store's entries, and records nothing if there is one. Entries of versions that a restored store lacks are written again, also of versions that have left.

TestNoStreamMixesVersions kills all hosts at once too.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -24,8 +25,9 @@
 type History struct {
 	// completeSince is the time from which no version is missing.
 	completeSince time.Time
-	// startedFirst means that no stream began before the history.
-	startedFirst bool
+	before        Beginning
+	// known holds the routes of which before names all versions.
+	known map[string]bool
 	// lastSeen holds, by route name, the versions with the time at which each was
 	// registered last.
 	lastSeen map[string]map[Version]time.Time
@@ -78,10 +80,19 @@
 	return versions
 }
 
-// NewHistory returns an empty history that begins now. startedFirst says that the whole
-// system starts for the first time, so that there are no streams yet.
-func NewHistory(now time.Time, startedFirst bool) *History {
-	return &History{completeSince: now, startedFirst: startedFirst, lastSeen: make(map[string]map[Version]time.Time), timeouts: make(map[string]time.Duration)}
+// Beginning is what is known of the streams that began before a history and may go on.
+type Beginning struct {
+	// None means that there are none: the whole system starts for the first time.
+	None bool
+	// Versions holds the versions at which they can have begun, all of them if Complete is
+	// set.
+	Versions []Version
+	Complete bool
+}
+
+// NewHistory returns an empty history that begins now.
+func NewHistory(now time.Time, before Beginning) *History {
+	return &History{completeSince: now, before: before, known: make(map[string]bool), lastSeen: make(map[string]map[Version]time.Time), timeouts: make(map[string]time.Duration)}
 }
 
 // Origin returns the origin of streams that began at the version.
@@ -100,6 +111,7 @@
 		}
 		if h.lastSeen[r.Name] == nil {
 			h.lastSeen[r.Name] = make(map[Version]time.Time)
+			h.addBefore(r, now)
 		}
 		h.timeouts[r.Name] = max(h.timeouts[r.Name], r.Timeout, DefaultTimeout)
 		for _, s := range r.TrafficSplit {
@@ -111,6 +123,23 @@
 	h.forget(now)
 }
 
+// addBefore adds the versions at which streams of a route can have begun before the history.
+// If there are such of other services, to which the route may have led, they are not all
+// known.
+func (h *History) addBefore(r *catalog.Route, now time.Time) {
+	if now.After(h.completeSince) {
+		return // the route is new
+	}
+	h.known[r.Name] = h.before.Complete
+	for _, v := range h.before.Versions {
+		if slices.ContainsFunc(r.TrafficSplit, func(s catalog.WeightedService) bool { return s.Service == v.Service }) {
+			h.lastSeen[r.Name][v] = now
+		} else {
+			h.known[r.Name] = false
+		}
+	}
+}
+
 // forget drops the versions, and routes without any, that are no longer in use.
 func (h *History) forget(now time.Time) {
 	for route, versions := range h.lastSeen {
@@ -122,6 +151,7 @@
 		if len(versions) == 0 {
 			delete(h.lastSeen, route)
 			delete(h.timeouts, route)
+			delete(h.known, route)
 		}
 	}
 }
@@ -130,7 +160,8 @@
 // only one, as of the last Observe.
 func (h *History) Sole(route string, now time.Time) (Origin, bool) {
 	versions := h.lastSeen[route]
-	if len(versions) != 1 || !h.startedFirst && now.Sub(h.completeSince) < h.timeouts[route]+lingerTime {
+	complete := h.before.None || h.known[route] || now.Sub(h.completeSince) >= h.timeouts[route]+lingerTime
+	if len(versions) != 1 || !complete {
 		return Origin{}, false
 	}
 	for v := range versions {
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -78,8 +79,8 @@
 		o, ok := h.Sole("r", now)
 		return ok && o == Origin{Service: "pool", SoftwareVersion: version}
 	}
-	is.True(isSole(NewHistory(now, true), configOf("pool"), one, "v1"))
-	h := NewHistory(now, false)
+	is.True(isSole(NewHistory(now, Beginning{None: true}), configOf("pool"), one, "v1"))
+	h := NewHistory(now, Beginning{})
 	is.True(!isSole(h, configOf("pool"), one, "v1")) // streams of before its start may go on
 	now = now.Add(20*time.Second + lingerTime)
 	is.True(isSole(h, configOf("pool"), one, "v1"))
@@ -94,8 +95,78 @@
 	// The route moves to another service, or leads to two, or versions are missing.
 	moved := usableEndpoints(map[string][]string{"pool": {"v1"}, "other": {"v1"}})
 	is.True(!isSole(h, configOf("other"), moved, "v1"))
-	is.True(!isSole(NewHistory(now, true), configOf("pool", "other"), moved, "v1"))
-	is.True(!isSole(NewHistory(now, true), configOf("pool"), usableEndpoints(map[string][]string{"pool": {""}}), ""))
+	is.True(!isSole(NewHistory(now, Beginning{None: true}), configOf("pool", "other"), moved, "v1"))
+	is.True(!isSole(NewHistory(now, Beginning{None: true}), configOf("pool"), usableEndpoints(map[string][]string{"pool": {""}}), ""))
+}
+
+// TestHistoryBeginsWithTheVersionsOfBefore guards against a host that has just started and takes
+// a version for the only one though streams began at others, or on a route that led to
+// another service; and against one that waits though it knows all of them.
+func TestHistoryBeginsWithTheVersionsOfBefore(t *testing.T) {
+	is := is.New(t)
+	usable := usableEndpoints(map[string][]string{"pool": {"v2"}})
+	v1, v2, other := Version{"pool", "v1"}, Version{"pool", "v2"}, Version{"other", "v1"}
+	for _, test := range []struct {
+		before        Beginning
+		sole, several bool
+	}{
+		{Beginning{Versions: []Version{v2}, Complete: true}, true, false},
+		{Beginning{Versions: []Version{v2}}, false, false},
+		{Beginning{Versions: []Version{v1, v2}, Complete: true}, false, true},
+		{Beginning{Versions: []Version{v1}, Complete: true}, false, true},
+		{Beginning{Versions: []Version{v2, other}, Complete: true}, false, false},
+	} {
+		h := NewHistory(startTime, test.before)
+		h.Observe(startTime, configOf("pool"), usable)
+		_, sole := h.Sole("r", startTime)
+		is.Equal(sole, test.sole)
+		is.Equal(h.Several("r"), test.several)
+	}
+}
+
+// TestSegmentHoldsItsRecords guards against records that change on their way through the store,
+// and against segments of another writer that can't be read.
+func TestSegmentHoldsItsRecords(t *testing.T) {
+	is := is.New(t)
+	e1 := &catalog.Endpoint{ID: "e1", Service: "pool", SoftwareVersion: "v1", StartedUnixMs: 5}
+	e2 := &catalog.Endpoint{ID: "e2", Service: "pool", SoftwareVersion: "v2"}
+	records := []Record{{"a", Of(e1, startTime), 1}, {"b", Of(e2, startTime.Add(time.Second)), 3}, {"c", Of(e1, startTime.Add(time.Minute)), 2}}
+	raw, err := EncodeSegment(4, records)
+	is.NoErr(err)
+	decoded, epoch, err := DecodeSegment(raw)
+	is.NoErr(err)
+	is.Equal(epoch, int64(4))
+	is.Equal(decoded, records)
+	for n := range raw {
+		_, _, err := DecodeSegment(raw[:n])
+		is.True(err != nil)
+	}
+	raw, err = cbor.Marshal(Segment{Streams: []segmentStream{{Attempt: "a", Endpoint: 1}}})
+	is.NoErr(err)
+	_, _, err = DecodeSegment(raw)
+	is.True(err != nil)
+}
+
+// TestUnwrittenStreamsAreTakenOnce guards against streams that are written again and again, or
+// after they have ended, and against a list without end.
+func TestUnwrittenStreamsAreTakenOnce(t *testing.T) {
+	is := is.New(t)
+	var u Unwritten
+	every := func(string) bool { return true }
+	u.Add("r", Record{Attempt: "old"}, startTime)
+	u.Add("r", Record{Attempt: "a"}, startTime.Add(time.Minute))
+	u.Add("other", Record{Attempt: "b"}, startTime.Add(time.Minute))
+	u.Add("r", Record{Attempt: "c"}, startTime.Add(time.Minute))
+	now := startTime.Add(time.Second)
+	is.Equal(u.Take(now, 1, func(route string) bool { return route == "r" }), []Record{{Attempt: "c"}})
+	is.Equal(u.Take(now, 9, every), []Record{{Attempt: "b"}, {Attempt: "a"}})
+	is.Equal(len(u.Take(now, 9, every)), 0)
+	for i := range 2 * maxUnwritten {
+		u.Add("r", Record{Attempt: fmt.Sprint(i)}, startTime.Add(time.Minute))
+	}
+	taken := u.Take(now, 2*maxUnwritten, every)
+	is.True(len(taken) <= maxUnwritten)
+	is.Equal(taken[0].Attempt, fmt.Sprint(2*maxUnwritten-1))
 }
 
 // TestNewerRecordOfAnAttemptHolds guards against an older record, of an attempt that brought no
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -157,7 +157,8 @@
 	n.relay.ObserveNotices(n.observeNotice)
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
-		CrashEntryName: crashing.EntryName, VersionEntryName: origins.VersionEntryName, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
+		CrashEntryName: crashing.EntryName, VersionEntryName: origins.VersionEntryName,
+		IsRecord: origins.IsSegmentKey, OnRecords: func(items []port.KeyValue) { n.origins.LearnSegments(items) }, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
 	sharing.handleRequests(n.replica)
 	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, MinLease: s.MinLease, StoreAvailable: n.replica.StoreAvailable,
 		Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
--- a/internal/exchange/origin.go
+++ b/internal/exchange/origin.go
@@ -77,6 +77,7 @@
 		r.announcement = r.cfg.Origins.Announce(r.route.Name, r.exchange.ID, r.attempts, r.attemptOrigin, r.remainingTime())
 	case r.exchange.FirstAttempt != "" && r.attempts == 1:
 		r.cfg.Origins.Announce(r.route.Name, r.exchange.FirstAttempt, 0, *r.origin, r.remainingTime())
+		r.cfg.Origins.Begun(r.route.Name, origin.Record{Attempt: r.exchange.FirstAttempt, Origin: *r.origin}, r.remainingTime())
 	}
 }
 
@@ -96,5 +97,6 @@
 	r.attemptMu.Lock()
 	r.origin = &o
 	r.attemptMu.Unlock()
+	r.cfg.Origins.Begun(r.route.Name, origin.Record{Attempt: r.exchange.ID, Origin: o, Sequence: r.attempts}, r.remainingTime())
 	r.announcement.Wait(ctx)
 }
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -154,6 +154,11 @@
 	CrashEntryName func(key string) (name string, ok bool)
 	// VersionEntryName is the same for entries of software versions.
 	VersionEntryName func(key string) (name string, ok bool)
+	// IsRecord reports whether the items of a key are not part of the state: those that are
+	// read or change in the store are passed to OnRecords, on the goroutine that owns the
+	// state, and not to other hosts. Both may be nil.
+	IsRecord  func(key string) bool
+	OnRecords func(items []port.KeyValue)
 	// FetchFromPeer may be nil; then no state is fetched from other hosts.
 	FetchFromPeer PeerFetcher
 	// Peers may be nil; then this host watches the store itself at all times.
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -269,3 +270,29 @@
 		is.Equal(countUsable(replica.Current()), 1)
 	})
 }
+
+// TestRecordsArePassedOnAndNotKept guards against records of single streams that each host
+// keeps and sends to others with all else that it knows.
+func TestRecordsArePassedOnAndNotKept(t *testing.T) {
+	is := is.New(t)
+	var passed []string
+	cfg := testConfig()
+	cfg.IsRecord = func(key string) bool { return strings.HasPrefix(key, "record/") }
+	cfg.OnRecords = func(items []port.KeyValue) {
+		for _, item := range items {
+			passed = append(passed, item.Key)
+		}
+	}
+	s := newState()
+	now := time.Unix(1000, 0)
+	item := func(key string, revision int64) port.KeyValue {
+		return port.KeyValue{Key: key, Value: []byte("1"), Revision: revision}
+	}
+	s.apply(cfg, update{items: []port.KeyValue{item("record/a", 4), item("refuse/x", 5)}, position: port.StorePosition{Revision: 5}, complete: true}, now)
+	changes, _ := s.apply(cfg, update{items: []port.KeyValue{item("record/b", 6), item("refuse/y", 7)}, position: port.StorePosition{Revision: 7}}, now)
+	is.Equal(passed, []string{"record/a", "record/b"})
+	is.Equal(len(changes), 1)
+	is.Equal(changes[0].Key, "refuse/y")
+	is.Equal(len(s.dump(now).Items), 2)
+	is.Equal(s.snapshot().Position.Revision, int64(7))
+}
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -57,6 +57,7 @@
 	if u.position.Before(s.position) {
 		return nil, true
 	}
+	u.items = passRecords(cfg, u.items)
 	firstRead := !s.initialized
 	restored := !firstRead && u.position.Epoch > s.position.Epoch
 	if restored {
@@ -82,6 +83,23 @@
 	return changes, continuous
 }
 
+// passRecords passes the items that are records on and returns the others.
+func passRecords(cfg Config, items []port.KeyValue) []port.KeyValue {
+	if cfg.IsRecord == nil || !slices.ContainsFunc(items, func(item port.KeyValue) bool { return cfg.IsRecord(item.Key) }) {
+		return items
+	}
+	var records, others []port.KeyValue
+	for _, item := range items {
+		if cfg.IsRecord(item.Key) {
+			records = append(records, item)
+		} else {
+			others = append(others, item)
+		}
+	}
+	cfg.OnRecords(records)
+	return others
+}
+
 // changesIn returns the items of an update that is about to be applied and that change the
 // state, and whether these are all that changed in the store. They are not if the state
 // begins anew, or if entries may have expired that are to be kept.
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -70,7 +70,7 @@
 		return known(answers.record.Origin)
 	}
 	if own.Several || answers.several {
-		return origin.Origin{}, false
+		return r.findInSegments(ctx, attempt)
 	}
 	close(asked)
 	stored, err := read()
@@ -90,10 +90,21 @@
 	return o, true
 }
 
-// startReading reads the store once asked is closed, or after readDelay if hosts are slow to
+// findInSegments returns the origin that the record of an attempt in the store names.
+func (r *Registry) findInSegments(ctx context.Context, attempt string) (origin.Origin, bool) {
+	if attempt == "" || r.readSegments(ctx) != nil {
+		return origin.Origin{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records.Get(attempt, r.cfg.Clock.Now())
+	return record.Origin, ok && record.Origin.Known()
+}
+
+// startReading reads the entries of the versions once asked is closed, or after readDelay if hosts are slow to
 // answer. The function returned waits for the result.
-func (r *Registry) startReading(ctx context.Context, asked <-chan struct{}) func() (storeRead, error) {
-	var result storeRead
+func (r *Registry) startReading(ctx context.Context, asked <-chan struct{}) func() (storedVersionsAt, error) {
+	var result storedVersionsAt
 	var err error
 	done := make(chan struct{})
 	go func() {
@@ -107,9 +118,9 @@
 			err = ctx.Err()
 			return
 		}
-		result, err = r.readStore(ctx)
+		result, err = r.readVersions(ctx)
 	}()
-	return func() (storeRead, error) {
+	return func() (storedVersionsAt, error) {
 		<-done
 		return result, err
 	}
@@ -117,12 +128,12 @@
 
 // soleInStore returns the origin of all streams of a route that began before the store was
 // read.
-func (r *Registry) soleInStore(ctx context.Context, route string, stored storeRead) (origin.Origin, bool) {
+func (r *Registry) soleInStore(ctx context.Context, route string, stored storedVersionsAt) (origin.Origin, bool) {
 	switch {
-	case !stored.versions.complete:
+	case !stored.complete:
 		return origin.Origin{}, false
-	case len(stored.versions.versions) == 1:
-		v := stored.versions.versions[0]
+	case len(stored.versions) == 1:
+		v := stored.versions[0]
 		return v.Origin(), v.Software != ""
 	}
 	// Several services serve streams. This host knows which ones this route has led to, once
--- a/internal/origins/fleet_test.go
+++ b/internal/origins/fleet_test.go
@@ -21,6 +21,7 @@
 // fleet is hosts whose registries ask each other in memory. It is used in a synctest
 // bubble, whose clock is virtual.
 type fleet struct {
+	tasks sync.WaitGroup // of the hosts
 	mu    sync.Mutex
 	rng   *rand.Rand
 	hosts map[string]*fakeHost
@@ -53,6 +54,8 @@
 	handlers map[string]port.RequestHandler
 	snapshot *facts.Snapshot
 	stop     context.CancelFunc
+	// learned is the revision up to which it has learned records.
+	learned int64
 	// down, cutOff and storeCut mean that it does not run, reaches no other host and
 	// not the store, or not the store.
 	down, cutOff, storeCut bool
@@ -94,13 +97,14 @@
 	return f.storeCalls
 }
 
-// end stops what the hosts do by themselves.
+// end stops what the hosts do by themselves and waits until they have.
 func (f *fleet) end() {
 	for _, h := range f.hosts {
 		if h.stop != nil {
 			h.stop()
 		}
 	}
+	f.tasks.Wait()
 }
 
 // followStore has all hosts read the store.
@@ -120,21 +124,21 @@
 // start starts a host, which reads the store.
 func (h *fakeHost) start(first bool) {
 	h.mu.Lock()
+	if h.stop != nil {
+		h.stop()
+	}
 	h.handlers = make(map[string]port.RequestHandler)
-	h.snapshot = &facts.Snapshot{}
+	h.snapshot, h.learned = &facts.Snapshot{}, 0
 	h.down = false
 	h.mu.Unlock()
 	registry := New(Config{Peers: h, HostID: h.id, Store: h, StoreAvailable: func() bool { return true }, Snapshot: h.currentSnapshot, StartedFirst: func(*facts.Snapshot) bool { return first },
 		Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.mu.Lock()
-	if h.stop != nil {
-		h.stop()
-	}
 	h.registry, h.stop = registry, cancel
 	h.mu.Unlock()
 	h.followStore()
-	go registry.Run(ctx)
+	h.tasks.Go(func() { registry.Run(ctx) })
 }
 
 // followStore reads the store, if the host reaches it.
@@ -153,7 +157,11 @@
 	}
 	s := &facts.Snapshot{Config: fleetConfig, Usable: make(map[string][]*catalog.Endpoint), Hosts: make(map[string]facts.Host), ConfirmedAt: time.Now(),
 		VersionEntries: make(map[string]string), Position: port.StorePosition{Epoch: h.epoch, Revision: h.revision}}
+	var records []port.KeyValue
 	for key, e := range h.entries {
+		if IsSegmentKey(key) && e.revision > h.learned && h.holds(e) {
+			records = append(records, port.KeyValue{Key: key, Value: e.value, Revision: e.revision, Epoch: h.epoch})
+		}
 		if name, ok := VersionEntryName(key); ok && h.holds(e) {
 			s.VersionEntries[name] = string(e.value)
 		}
@@ -164,9 +172,10 @@
 	for id := range h.hosts {
 		s.Hosts[id] = facts.Host{ID: id}
 	}
-	h.snapshot = s
+	h.snapshot, h.learned = s, h.revision
 	registry := h.registry
 	h.mu.Unlock()
+	registry.LearnSegments(records)
 	registry.Observe(s)
 }
 
@@ -265,6 +274,7 @@
 	if lease.ID != 0 && !time.Now().Before(h.leases[lease.ID]) {
 		return 0, port.ErrNotFound
 	}
+	maps.DeleteFunc(h.entries, func(_ string, e fakeEntry) bool { return !h.holds(e) })
 	h.revision++
 	h.entries[key] = fakeEntry{value, h.revision, lease.ID}
 	return h.revision, nil
@@ -300,8 +310,10 @@
 	if e == nil {
 		return false
 	}
-	a := registry.Announce("r", attempt, 1, origin.Of(e, time.Now()), 20*time.Second)
+	o := origin.Of(e, time.Now())
+	a := registry.Announce("r", attempt, 1, o, 20*time.Second)
 	time.Sleep(100 * time.Millisecond) // until the first event
+	registry.Begun("r", origin.Record{Attempt: attempt, Origin: o, Sequence: 1}, 20*time.Second)
 	a.Wait(context.Background())
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -12,6 +12,7 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -100,9 +101,14 @@
 // Registry holds what this host knows of the origins of streams. It is safe for
 // concurrent use.
 type Registry struct {
-	cfg      Config
-	versions *versions
-	reads    sharedReads
+	cfg       Config
+	startedAt time.Time
+	versions  *versions
+	// versionReads and segmentReads are those of searches.
+	versionReads sharedReads[storedVersionsAt]
+	segmentReads sharedReads[struct{}]
+	// segments is used by Run only.
+	segments segmentWriter
 
 	mu sync.Mutex
 	// history is nil until the first snapshot with a configuration.
@@ -113,6 +119,8 @@
 	// unsent holds the records, by route, of streams that began while nobody else needed
 	// to know.
 	unsent map[string][]unsentRecord
+	// unwritten holds the streams that this host began.
+	unwritten origin.Unwritten
 }
 
 type unsentRecord struct {
@@ -123,7 +131,7 @@
 // New returns an empty Registry and registers its handlers for requests of other
 // hosts.
 func New(cfg Config) *Registry {
-	r := &Registry{cfg: cfg, versions: newVersions(), records: origin.NewRecords(), unsent: make(map[string][]unsentRecord)}
+	r := &Registry{cfg: cfg, startedAt: cfg.Clock.Now(), versions: newVersions(), records: origin.NewRecords(), unsent: make(map[string][]unsentRecord)}
 	cfg.Peers.Handle(kindPut, r.handlePut)
 	cfg.Peers.Handle(kindGet, r.handleGet)
 	return r
@@ -146,7 +154,8 @@
 	}
 	first := r.history == nil && r.cfg.StartedFirst(s)
 	if r.history == nil {
-		r.history = origin.NewHistory(now, first)
+		stored := decodeVersions(s.VersionEntries, s.Position.Epoch)
+		r.history = origin.NewHistory(now, origin.Beginning{None: first, Versions: stored.versions, Complete: stored.complete})
 	}
 	r.history.Observe(now, s.Config, s.Usable)
 	r.observed = s.Position
@@ -195,6 +204,25 @@
 	return r.versions.withEntries(endpoints)
 }
 
+// Run writes what the store has to know until ctx ends. It must be called once.
+func (r *Registry) Run(ctx context.Context) {
+	cleanUp := time.NewTicker(cleanUpInterval)
+	defer cleanUp.Stop()
+	for ctx.Err() == nil {
+		wait := cmp.Or(r.writeEntries(ctx), cleanUpInterval)
+		wait = min(wait, cmp.Or(r.writeSegments(ctx), cleanUpInterval))
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-r.versions.changed:
+		case <-timer.C:
+		case <-cleanUp.C:
+			r.removeOldEntries(ctx)
+		}
+		timer.Stop()
+	}
+}
+
 // Announcement is a record on its way to other hosts.
 type Announcement struct {
 	registry *Registry
@@ -283,6 +311,33 @@
 	}
 }
 
+// Begun records in the store that an attempt began a stream of a route, or took it up, if the
+// route has several versions or once it has. It returns at once. remaining is the time until
+// the stream's deadline.
+func (r *Registry) Begun(route string, record origin.Record, remaining time.Duration) {
+	if !record.Origin.Known() {
+		return
+	}
+	r.mu.Lock()
+	now := r.cfg.Clock.Now()
+	r.unwritten.Add(route, record, now.Add(remaining+recordMargin))
+	several := r.hasSeveral(route, now)
+	r.mu.Unlock()
+	if several {
+		r.versions.wake()
+	}
+}
+
+// hasSeveral reports whether streams of a route may have begun at several versions. r.mu must
+// be held.
+func (r *Registry) hasSeveral(route string, now time.Time) bool {
+	if r.history == nil {
+		return true
+	}
+	_, sole := r.history.Sole(route, now)
+	return !sole
+}
+
 func (r *Registry) put(record origin.Record, lifetime time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -158,8 +158,8 @@
 	})
 }
 
-// TestNoStreamMixesVersions plays rollouts while hosts are killed and started, are cut off
-// from each other or the store, and the store is away. It guards against a stream that is
+// TestNoStreamMixesVersions plays rollouts while hosts are killed and started, one or all at
+// once, are cut off from each other or the store, and the store is away. It guards against a stream that is
 // resumed at another version than the one that began it, and against hosts in touch that
 // resume less than half of the streams.
 func TestNoStreamMixesVersions(t *testing.T) {
@@ -247,6 +247,23 @@
 			}
 		})
 	})
+	every(20*time.Second, 50*time.Second, func() { // all hosts are killed at once
+		f.mu.Lock()
+		var killed []*fakeHost
+		for _, h := range f.hosts {
+			if !h.down {
+				killed = append(killed, h)
+				h.down, h.disturbedAt = true, time.Now()
+			}
+		}
+		away := time.Duration(500+f.rng.IntN(2500)) * time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(away)
+		for _, h := range killed {
+			f.change(func() { h.disturbedAt = time.Now() })
+			h.start(false)
+		}
+	})
 	begun, resumed, refused, inTouch, inTouchResumed := 0, 0, 0, 0, 0
 	stream := 0
 	every(10*time.Millisecond, 60*time.Millisecond, func() { // callers
@@ -359,3 +376,132 @@
 		})
 	}
 }
+
+// TestStreamsGoOnAfterAllHostsWereLost guards against streams that are refused, or resumed at
+// another version, because all hosts were killed at once and every record was in their memory.
+func TestStreamsGoOnAfterAllHostsWereLost(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		versions []string // of the endpoints when the streams begin
+		left     string   // the version that has left when the hosts start again
+	}{
+		{"one version", []string{"v1", "v1"}, ""},
+		{"two versions", []string{"v1", "v2"}, ""},
+		{"the old version has just left", []string{"v1", "v2"}, "v1"},
+		{"the new version is taken back", []string{"v1", "v2"}, "v2"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(5, 8)
+				f.versions["e1"], f.versions["e3"] = "v1", "v1"
+				f.start()
+				defer f.end()
+				time.Sleep(12 * time.Second)
+				f.followStore()
+				actual := make(map[string]string)
+				begin := func(stream string, host int, endpoint string) {
+					actual[stream] = f.versions[endpoint]
+					is.True(f.hosts[fmt.Sprint("edge-", host)].begin(stream, endpoint))
+				}
+				for i := range 16 {
+					begin(fmt.Sprint("before-", i), i%8, "e1")
+				}
+				f.change(func() { f.versions["e2"], f.versions["e4"] = test.versions[1], test.versions[1] })
+				f.followStore()
+				time.Sleep(200 * time.Millisecond)
+				f.followStore()
+				for i := range 32 {
+					begin(fmt.Sprint("during-", i), i%8, fmt.Sprint("e", 1+i%2))
+				}
+				time.Sleep(500 * time.Millisecond)
+				f.change(func() {
+					for _, h := range f.hosts {
+						h.down = true
+					}
+					for id, version := range f.versions {
+						if version == test.left {
+							delete(f.versions, id)
+						}
+					}
+				})
+				time.Sleep(2600 * time.Millisecond)
+				for _, h := range f.hosts {
+					h.start(false)
+				}
+				time.Sleep(500 * time.Millisecond)
+				f.followStore()
+				for stream, version := range actual {
+					is.Equal(f.hosts[fmt.Sprint("edge-", len(stream)%8)].find(stream), version)
+				}
+				is.Equal(f.hosts["edge-1"].find("nobody began it") == "", test.versions[1] == "v2")
+			})
+		})
+	}
+}
+
+// TestRestoredStoreNamesNoSingleVersion guards against hosts that start with a store that was
+// restored from an older copy, which lacks the entry of the newest version, and resume streams
+// of that version at the one before.
+func TestRestoredStoreNamesNoSingleVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6, 8)
+		f.versions["e1"] = "v1"
+		f.start()
+		defer f.end()
+		time.Sleep(12 * time.Second)
+		older := make(map[string]fakeEntry)
+		f.change(func() {
+			maps.Copy(older, f.entries)
+			f.versions["e2"] = "v2"
+		})
+		f.followStore()
+		time.Sleep(200 * time.Millisecond)
+		f.followStore()
+		is.True(f.hosts["edge-0"].begin("s1", "e2"))
+		time.Sleep(time.Second)
+		f.change(func() {
+			for _, h := range f.hosts {
+				h.down = true
+			}
+			f.entries, f.epoch = older, f.epoch+1
+			delete(f.versions, "e2")
+		})
+		time.Sleep(time.Second)
+		for _, h := range f.hosts {
+			h.start(false)
+		}
+		for range 20 {
+			time.Sleep(time.Second)
+			f.followStore()
+			is.Equal(f.hosts["edge-3"].find("s1"), "")
+		}
+		time.Sleep(30 * time.Second) // until all streams of before have ended
+		f.followStore()
+		is.Equal(f.hosts["edge-3"].find("began later"), "v1")
+	})
+}
+
+// TestEntryOfAFormerVersionIsRemoved guards against entries that stay for good, so that no
+// version is ever the single one again.
+func TestEntryOfAFormerVersionIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(7, 4)
+		f.versions["e1"], f.versions["e2"] = "v1", "v2"
+		f.start()
+		defer f.end()
+		time.Sleep(time.Second)
+		f.change(func() { delete(f.versions, "e1") })
+		for range 600 {
+			time.Sleep(time.Second)
+			f.followStore()
+		}
+		f.hosts["edge-0"].start(false)
+		time.Sleep(time.Second)
+		is.Equal(f.hosts["edge-0"].find("began later"), "v2")
+		maps.DeleteFunc(f.entries, func(_ string, e fakeEntry) bool { return !f.holds(e) })
+		is.Equal(len(f.entries), 1)
+	})
+}
--- a/internal/origins/storeread.go
+++ b/internal/origins/storeread.go
@@ -7,33 +7,33 @@
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
-// storeRead is what the store holds of the origins of streams.
-type storeRead struct {
-	versions storedVersions
+// storedVersionsAt is what the entries of versions say, as of a position of the store.
+type storedVersionsAt struct {
+	storedVersions
 	position port.StorePosition
 }
 
 // sharedReads lets concurrent searches share reads of the store. It is safe for concurrent
 // use.
-type sharedReads struct {
+type sharedReads[T any] struct {
 	mu      sync.Mutex
 	running bool
 	// next begins once the one that runs has ended; nil if nobody waits for it.
-	next *sharedRead
+	next *sharedRead[T]
 }
 
-type sharedRead struct {
+type sharedRead[T any] struct {
 	done   chan struct{}
-	result storeRead
+	result T
 	err    error
 }
 
 // get returns the result of a read that begins after the call. The error is that of read, or
 // the context's.
-func (s *sharedReads) get(ctx context.Context, read func() (storeRead, error)) (storeRead, error) {
+func (s *sharedReads[T]) get(ctx context.Context, read func() (T, error)) (T, error) {
 	s.mu.Lock()
 	if s.next == nil {
-		s.next = &sharedRead{done: make(chan struct{})}
+		s.next = &sharedRead[T]{done: make(chan struct{})}
 	}
 	mine := s.next
 	if !s.running {
@@ -45,12 +45,13 @@
 	case <-mine.done:
 		return mine.result, mine.err
 	case <-ctx.Done():
-		return storeRead{}, ctx.Err()
+		var none T
+		return none, ctx.Err()
 	}
 }
 
 // run reads until nobody waits.
-func (s *sharedReads) run(read func() (storeRead, error)) {
+func (s *sharedReads[T]) run(read func() (T, error)) {
 	for {
 		s.mu.Lock()
 		current := s.next
@@ -64,31 +65,50 @@
 	}
 }
 
-// readStore returns what the store holds after the call, with the entries that this host has
-// to write. It returns an error if that can't be read, at once if the store is known to be
-// unavailable.
-func (r *Registry) readStore(ctx context.Context) (storeRead, error) {
+// readVersions returns what the store holds after the call, with the entries that this host
+// has to write. It returns an error if that can't be read, at once if the store is known to
+// be unavailable.
+func (r *Registry) readVersions(ctx context.Context) (storedVersionsAt, error) {
 	if !r.cfg.StoreAvailable() {
-		return storeRead{}, port.ErrUnavailable
+		return storedVersionsAt{}, port.ErrUnavailable
 	}
 	for deadline := r.cfg.Clock.Now().Add(storeTimeout); r.versions.anyMissing() && ctx.Err() == nil && r.cfg.Clock.Now().Before(deadline); {
 		port.Sleep(ctx, positionInterval)
 	}
-	return r.reads.get(ctx, r.readEntries)
+	return r.versionReads.get(ctx, func() (storedVersionsAt, error) {
+		items, position, err := r.readKeys(versionKeyPrefix)
+		if err != nil {
+			return storedVersionsAt{}, err
+		}
+		entries := make(map[string]string)
+		for _, item := range items {
+			if name, ok := VersionEntryName(item.Key); ok {
+				entries[name] = string(item.Value)
+			}
+		}
+		return storedVersionsAt{decodeVersions(entries, position.Epoch), position}, nil
+	})
 }
 
-func (r *Registry) readEntries() (storeRead, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	items, position, err := r.cfg.Store.Range(ctx, r.cfg.KeyPrefix+entryKeyPrefix)
-	if err != nil {
-		return storeRead{}, err
+// readSegments learns the records that the store holds after the call. Its errors are those of
+// readVersions.
+func (r *Registry) readSegments(ctx context.Context) error {
+	if !r.cfg.StoreAvailable() {
+		return port.ErrUnavailable
 	}
-	versions := make(map[string]string)
-	for _, item := range items {
-		if name, ok := VersionEntryName(item.Key); ok {
-			versions[name] = string(item.Value)
+	_, err := r.segmentReads.get(ctx, func() (struct{}, error) {
+		items, _, err := r.readKeys(segmentKeyPrefix)
+		if err == nil {
+			r.LearnSegments(items)
 		}
-	}
-	return storeRead{decodeVersions(versions, position.Epoch), position}, nil
+		return struct{}{}, err
+	})
+	return err
+}
+
+// readKeys reads the keys of this package that continue with a prefix.
+func (r *Registry) readKeys(prefix string) ([]port.KeyValue, port.StorePosition, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	return r.cfg.Store.Range(ctx, r.cfg.KeyPrefix+entryKeyPrefix+prefix)
 }
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -27,8 +27,9 @@
 //   - The host that first learns of a version writes its entry (writeEntries).
 //   - An entry counts only in the epoch that it names: a store that was restored from an
 //     older copy may have lost others. The hosts write theirs again in the new epoch.
-//   - If the store has no entries, though streams may go on that began before, an entry
-//     without a version (Incomplete) comes first, until these have ended.
+//   - If the store has no entries, or such of an earlier epoch, when a host starts, though
+//     streams may go on that began before, an entry without a version (Incomplete) comes first,
+//     until these have ended.
 //   - An entry is removed once its version has not been registered for a long time.
 
 const (
@@ -95,16 +96,6 @@
 	return out
 }
 
-// hasVersions reports whether there is an entry of a version.
-func hasVersions(entries map[string]string) bool {
-	for name := range entries {
-		if name != incompleteName {
-			return true
-		}
-	}
-	return false
-}
-
 // hasEntry reports whether the entry of a version is there and counts in an epoch.
 func hasEntry(entries map[string]string, v origin.Version, epoch int64) bool {
 	var e versionEntry
@@ -122,15 +113,15 @@
 	begins    bool
 	// snapshot is the newest one.
 	snapshot *facts.Snapshot
-	// lastSeen holds when each version was registered last.
+	// lastSeen holds when each version was registered last, for origin.VersionRetention.
 	lastSeen map[origin.Version]time.Time
-	// missing holds the registered versions whose entries are not known to be in the store,
+	// missing holds the versions of lastSeen whose entries are not known to be in the store,
 	// with the time at which this host is to write them.
 	missing map[origin.Version]time.Time
 	// written holds the versions whose entries this host has found or written in an epoch,
 	// before the snapshot shows them.
 	written map[origin.Version]int64
-	// changed is sent to when missing may have changed.
+	// changed is sent to when there may be something to write.
 	changed chan struct{}
 }
 
@@ -144,28 +135,31 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.startedAt.IsZero() {
-		v.startedAt, v.begins = now, !first && !hasVersions(s.VersionEntries)
+		v.startedAt, v.begins = now, !first && !decodeVersions(s.VersionEntries, s.Position.Epoch).complete
 	}
 	v.snapshot = s
-	registered := origin.RegisteredVersions(s.Config, s.Usable)
-	for version := range registered {
+	for version := range origin.RegisteredVersions(s.Config, s.Usable) {
 		v.lastSeen[version] = now
-		if epoch, ok := v.written[version]; hasEntry(s.VersionEntries, version, s.Position.Epoch) || ok && epoch == s.Position.Epoch {
-			delete(v.missing, version)
-		} else if _, known := v.missing[version]; !known {
-			v.missing[version] = now.Add(rand.N(writeSpread * time.Duration(1+len(s.Hosts))))
-		}
-	}
-	for version := range v.written {
-		if !registered[version] {
-			delete(v.written, version) // its entry may be removed meanwhile
-		}
 	}
-	for version := range v.missing {
-		if !registered[version] {
+	for version, seen := range v.lastSeen {
+		epoch, written := v.written[version]
+		_, missing := v.missing[version]
+		switch {
+		case now.Sub(seen) > origin.VersionRetention:
+			delete(v.lastSeen, version)
+			delete(v.written, version)
+			delete(v.missing, version)
+		case hasEntry(s.VersionEntries, version, s.Position.Epoch) || written && epoch == s.Position.Epoch:
 			delete(v.missing, version)
+		case !missing:
+			v.missing[version] = now.Add(rand.N(writeSpread * time.Duration(1+len(s.Hosts))))
 		}
 	}
+	v.wake()
+}
+
+// wake has Run look for what there is to write.
+func (v *versions) wake() {
 	select {
 	case v.changed <- struct{}{}:
 	default:
@@ -216,27 +210,6 @@
 	return origin.Version{}, false, wait
 }
 
-// Run maintains this host's entries in the store until ctx ends. It must be called once.
-func (r *Registry) Run(ctx context.Context) {
-	cleanUp := time.NewTicker(cleanUpInterval)
-	defer cleanUp.Stop()
-	for ctx.Err() == nil {
-		wait := r.writeEntries(ctx)
-		if wait == 0 {
-			wait = cleanUpInterval
-		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-r.versions.changed:
-		case <-timer.C:
-		case <-cleanUp.C:
-			r.removeOldEntries(ctx)
-		}
-		timer.Stop()
-	}
-}
-
 // writeEntries writes the entries that are due, and returns the time until the next one is; 0
 // if there is none.
 func (r *Registry) writeEntries(ctx context.Context) time.Duration {
@@ -323,12 +296,8 @@
 	v.mu.Lock()
 	s := v.snapshot
 	inUse := make(map[string]bool)
-	for version, seen := range v.lastSeen {
-		if now.Sub(seen) <= origin.VersionRetention {
-			inUse[entryNameOf(version)] = true
-		} else {
-			delete(v.lastSeen, version)
-		}
+	for version := range v.lastSeen {
+		inUse[entryNameOf(version)] = true
 	}
 	tooEarly := v.startedAt.IsZero() || now.Sub(v.startedAt) <= origin.VersionRetention
 	v.mu.Unlock()
