Tell late copies of stage responses without handles

Cause: such a response names no request. Its copy was taken for the response to the next call, and the connection went back to the pool with that call's own response still due, so that each call got the response to the one before.

Change: a connection that has carried a response which names no call is closed after the next such response.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -23,6 +23,8 @@
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
 	arrivalLimit, arrivalTime time.Duration
+	// unnamed means that the connection has carried a response that named no call.
+	unnamed bool
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// serverIdleTimeout is how long the server keeps the connection open while
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -136,6 +136,10 @@
 	// Matches reports whether a response belongs to this call; other responses are
 	// discarded. If it is nil, the first response is used.
 	Matches func(*fasthttp.Response) bool
+	// Named reports, after Read, whether the response names its call, so that a second copy of
+	// it could be told from the response to a later call. If it is nil, the response doesn't, and
+	// the call bears a copy of another one in its place.
+	Named func(*fasthttp.Response) bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
 	// Read receives the response with its body unread; the response is valid until Read
@@ -249,7 +253,12 @@
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
-	return c.reader.Buffered() == 0, nil
+	named := call.Named != nil && call.Named(resp)
+	// This may be a copy of an unnamed response that the connection carried before. Then the
+	// call's own one is still due.
+	mayBeCopy := call.Named != nil && !named && c.unnamed
+	c.unnamed = c.unnamed || !named
+	return c.reader.Buffered() == 0 && !mayBeCopy, nil
 }
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces, because a
