Send at-most-once requests only where each response names its attempt

Cause: probes, whose responses name no attempt, shared the connections of requests. A late copy of the 400 that a server gives to a request without an id, marked as not run, was taken for the refusal of the next request, which went to another server while the first one ran it.

Evidence: TestCopyOfAProbesResponseIsNoRefusal failed before: copies_test.go:302: 400 != 200

Change: a request that may not be repeated is sent on a connection on which all responses so far named their attempts; probes take the other ones first. Carriers are told whether an exchange may be repeated.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -62,11 +63,33 @@
 	return n, err
 }
 
+// preference says which of the idle connections a call takes.
+type preference uint8
+
+const (
+	anyConn preference = iota
+	// namedOnly stands for connections without an unnamed response.
+	namedOnly
+	// unnamedFirst leaves these to other calls, unless there are no others.
+	unnamedFirst
+)
+
+func preferenceOf(call Call) preference {
+	switch {
+	case call.OnlyNamed:
+		return namedOnly
+	case call.Named == nil:
+		return unnamedFirst
+	default:
+		return anyConn
+	}
+}
+
 // acquire returns an idle connection to addr or dials a new one. With forceNew it
 // always dials.
-func (p *Pool) acquire(ctx context.Context, addr string, forceNew bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, addr string, forceNew bool, prefer preference) (*conn, error) {
 	if !forceNew {
-		if c := p.takeIdle(addr); c != nil {
+		if c := p.takeIdle(addr, prefer); c != nil {
 			return c, nil
 		}
 	}
@@ -85,24 +108,40 @@
 	return c
 }
 
-// takeIdle removes the most recently used idle connection to addr that is still
-// usable and returns it, or nil if there is none. It closes the unusable ones that
-// it finds.
-func (p *Pool) takeIdle(addr string) *conn {
+// takeIdle removes the most recently used idle connection to addr that is preferred and
+// still usable and returns it, or nil if there is none. It closes the unusable ones that it
+// finds.
+func (p *Pool) takeIdle(addr string, prefer preference) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[addr]
-	for len(conns) > 0 {
-		c := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		p.idle[addr] = conns
+	for {
+		i := lastPreferred(p.idle[addr], prefer)
+		if i < 0 {
+			return nil
+		}
+		c := p.idle[addr][i]
+		if p.idle[addr] = slices.Delete(p.idle[addr], i, i+1); len(p.idle[addr]) == 0 {
+			delete(p.idle, addr)
+		}
 		if time.Since(c.idleSince) < p.idleTimeoutOf(c) && isReusable(c.Conn) {
 			return c
 		}
 		c.Close()
 	}
-	delete(p.idle, addr)
-	return nil
+}
+
+// lastPreferred returns the index of the last connection that is preferred, -1 if there is
+// none.
+func lastPreferred(conns []*conn, prefer preference) int {
+	for i := len(conns) - 1; i >= 0; i-- {
+		if prefer == anyConn || conns[i].unnamed == (prefer == unnamedFirst) {
+			return i
+		}
+	}
+	if prefer == unnamedFirst {
+		return len(conns) - 1
+	}
+	return -1
 }
 
 // idleTimeoutOf returns how long c may be idle and still be reused.
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -140,6 +140,9 @@
 	// it could be told from the response to a later call. If it is nil, the response doesn't, and
 	// the call bears a copy of another one in its place.
 	Named func(*fasthttp.Response) bool
+	// OnlyNamed means that the call may not get a copy of the response to another one: it is
+	// sent on a connection on which all responses so far named their calls.
+	OnlyNamed bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
 	// Read receives the response with its body unread; the response is valid until Read
@@ -154,7 +157,7 @@
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
-	c, err := p.acquire(ctx, addr, forceNew)
+	c, err := p.acquire(ctx, addr, forceNew, preferenceOf(call))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -156,7 +156,7 @@
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
 	var load *port.EndpointLoad
-	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, Customer: r.customer, Remaining: r.remainingTime(),
+	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.currentResults().handles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
 	startedAt := r.cfg.Clock.Now()
 	silence := time.AfterFunc(max(minVerifyDelay, r.route.TargetLatency), func() { r.cfg.Health.Verify(e) })
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -81,6 +81,8 @@
 type EndpointRequest struct {
 	Exchange *Exchange
 	Endpoint *catalog.Endpoint
+	// MayRepeat says that the exchange may run more than once.
+	MayRepeat bool
 	// Customer is sent to the endpoint; empty for none.
 	Customer string
 	// Remaining is the time left until the exchange's deadline.
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -56,17 +56,18 @@
 	Priority   int                `cbor:"11,keyasint"`
 	Inputs     []string           `cbor:"12,keyasint"` // nil and empty differ
 	ResumeFrom string             `cbor:"13,keyasint"`
+	MayRepeat  bool               `cbor:"14,keyasint,omitempty"`
 }
 
 func encodeForward(id string, r *port.EndpointRequest) *forwardRequest {
 	x := r.Exchange
 	return &forwardRequest{ID: id, Endpoint: refTo(r.Endpoint), AttemptID: x.ID, Method: x.Method, Target: x.Target, Host: x.Host, Header: x.Header, Body: x.Body,
-		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom}
+		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom, MayRepeat: r.MayRepeat}
 }
 
 func (f *forwardRequest) decode(e *catalog.Endpoint) *port.EndpointRequest {
 	x := &port.Exchange{ID: f.AttemptID, Method: f.Method, Target: f.Target, Host: f.Host, Header: f.Header, Body: f.Body}
-	return &port.EndpointRequest{Exchange: x, Endpoint: e, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
+	return &port.EndpointRequest{Exchange: x, Endpoint: e, MayRepeat: f.MayRepeat, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
 }
 
 // probeRequest asks a host whether it reaches an endpoint, and for a new report of the
