--- a/cmd/pimentorilld/platform.go
+++ b/cmd/pimentorilld/platform.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -33,6 +34,7 @@
 	out := logs.NewWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	log := logs.New(out)
+	limitMemory(s)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	node, err := entry.Start(s, connectPlatform(s, log), log)
@@ -69,6 +71,14 @@
 	}
 }
 
+// limitMemory has the garbage collector keep the process within three quarters of the memory
+// that the settings give the host, as far as it can.
+func limitMemory(s entry.Settings) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes / 4 * 3)
+	}
+}
+
 // bodyMemoryDivisor limits the total size of the bodies of all requests in progress to
 // 1/8 of the memory that the settings give the host.
 const bodyMemoryDivisor = 8
