Forward large responses without a length whole

Cause: what is forwarded of such a response was bounded by the size of the route's other responses.

Evidence: TestLargeBodyWithoutALengthIsForwardedWhole failed before: body_test.go:129: endpoint_failed (may_have_run): answer is too large

Change: it is forwarded up to the bound of all responses, 8 MB. What is held of it is bounded as before.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// maxResponseBytes bounds the body of a response that is no stream.
+	// maxResponseBytes bounds the body of a response that is no stream. One without a length
+	// may have no end.
 	maxResponseBytes = 8 << 20
 	// uncountedBytes is held of each response without counting towards the budget.
 	uncountedBytes = 64 << 10
@@ -19,11 +20,10 @@
 	firstChunkBytes = 4 << 10
 	// typicalSizeFactor times the largest response of a route is how much is held of a
 	// response without a length, at least minHeldBytes; before any response of the route
-	// it is defaultHeldBytes. forwardedFactor times as much is forwarded.
+	// it is defaultHeldBytes.
 	typicalSizeFactor = 16
 	minHeldBytes      = 256 << 10
 	defaultHeldBytes  = 1 << 20
-	forwardedFactor   = 8
 	// defaultHeldTotal bounds the bodies held for all exchanges together, if Config does
 	// not.
 	defaultHeldTotal = 32 << 20
@@ -147,7 +147,7 @@
 }
 
 // forwardRest forwards a response whose body is too large to be held: what is held of it
-// and the rest as it arrives, up to the response's declared length or a limit. The caller doesn't take a body that
+// and the rest as it arrives, up to maxResponseBytes. The caller doesn't take a body that
 // breaks off for complete.
 func (r *exchangeRun) forwardRest(b *bufferedResponse, body io.Reader, length int64) error {
 	r.record.status = b.status
@@ -162,8 +162,7 @@
 	}
 	b.chunks = nil
 	buffer := make([]byte, chunkBytes)
-	limit := min(maxResponseBytes, forwardedFactor*r.bodies.limit(r.route.Name, length))
-	for b.size <= limit {
+	for b.size <= maxResponseBytes {
 		n, err := body.Read(buffer)
 		b.size += int64(n)
 		if n > 0 {
--- a/internal/exchange/body_test.go
+++ b/internal/exchange/body_test.go
@@ -108,3 +108,27 @@
 	c.read += int64(len(p))
 	return len(p), nil
 }
+
+// TestLargeBodyWithoutALengthIsForwardedWhole guards against responses that are cut, each time,
+// because the other responses of their route are small.
+func TestLargeBodyWithoutALengthIsForwardedWhole(t *testing.T) {
+	for _, kind := range []catalog.RouteKind{catalog.AtMostOnce, catalog.Idempotent} {
+		for _, size := range []int{2_500_000, maxResponseBytes} {
+			is := is.New(t)
+			r, _ := newBodyRun(&catalog.Route{Name: "route", Kind: kind, MaxAttempts: 2}, 64<<20)
+			out := &recorder{}
+			handle := func(body []byte) error {
+				out = &recorder{}
+				r.responder, r.responseStarted = out, false
+				return r.handleResponse(t.Context(), &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -2, Body: bytes.NewReader(body)}, nil, time.Time{})
+			}
+			is.NoErr(handle(testBody(800)))
+			if kind == catalog.Idempotent {
+				r.executedAttempts = 1 // the last attempt
+			}
+			is.NoErr(handle(testBody(size)))
+			is.True(out.finished)
+			is.True(bytes.Equal(out.body.Bytes(), testBody(size)))
+		}
+	}
+}
--- a/internal/exchange/untilclose_test.go
+++ b/internal/exchange/untilclose_test.go
@@ -18,7 +18,7 @@
 // TestBodyUntilCloseIsCutOnlyPastTheLimits guards against a body without length that is cut
 // below the limits, and against one that is cut, by a reset or a limit, and looks complete.
 func TestBodyUntilCloseIsCutOnlyPastTheLimits(t *testing.T) {
-	const largest = maxResponseBytes // forwardedFactor times defaultHeldBytes
+	const largest = maxResponseBytes
 	for _, size := range []int{0, 1, firstChunkBytes, uncountedBytes, defaultHeldBytes - 1, defaultHeldBytes, defaultHeldBytes + 1, largest - 1, largest, largest + 1} {
 		for _, status := range []int{200, 404, 500} {
 			for _, broken := range []bool{false, true} {
