--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -136,9 +136,9 @@
 	// Matches reports whether a response belongs to this call; other responses are
 	// discarded. If it is nil, the first response is used.
 	Matches func(*fasthttp.Response) bool
-	// Named reports, after Read, whether the response names its call, so that a second copy of
-	// it could be told from the response to a later call. If it is nil, the response doesn't, and
-	// the call bears a copy of another one in its place.
+	// Named reports, after Read, whether the response names its call, so that a late copy of it
+	// can be told from the response to a later call. If it is nil, the response doesn't, and
+	// Read has to cope with a copy of another one.
 	Named func(*fasthttp.Response) bool
 	// OnlyNamed means that the call may not get a copy of the response to another one: it is
 	// sent on a connection on which all responses so far named their calls.
