Log which answer of an endpoint was believed, and on which connection

The lines `attempt failed` said neither whether the answer named its attempt nor what its connection had carried, so that a refusal of another request, a second copy of one and a repetition after an error looked the same.

No decision changes. The lines `attempt failed` and `exchange` have the status of the answer, whether it named the attempt, how many answers its connection had carried before the request, how many were discarded since, the connection's age and the host that carried the call. A discarded response has a line of its own. Errors of stage calls and of the engine client say what the connection had carried. Between hosts the description is an optional field, which earlier versions neither send nor need.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -8,6 +8,7 @@
 package engine
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -107,13 +108,35 @@
 // returns every failure as a *verdict.Error. forceNew opens a new connection
 // instead of reusing an idle one.
 func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, read func(*fasthttp.Response) error) error {
-	sent, err := c.pool.Do(ctx, addr, req, forceNew, read)
+	var arrival port.Arrival
+	sent, err := c.pool.Exchange(ctx, addr, forceNew, httpcall.Call{
+		Write:   func(w *bufio.Writer) error { return req.Write(w) },
+		Arrival: &arrival,
+		Read:    func(resp *fasthttp.Response) error { return describeArrival(read(resp), arrival) },
+	})
 	if err != nil {
 		return toVerdictError(ctx, err, sent)
 	}
 	return nil
 }
 
+// describeArrival adds to the error of a response how the response arrived.
+func describeArrival(err error, arrival port.Arrival) error {
+	var verdictErr *verdict.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &verdictErr):
+		described := *verdictErr
+		if described.Cause = errors.New(arrival.String()); verdictErr.Cause != nil {
+			described.Cause = errors.Wrap(verdictErr.Cause, arrival.String())
+		}
+		return &described
+	default:
+		return errors.Wrap(err, arrival.String())
+	}
+}
+
 // toVerdictError converts err to a *verdict.Error. The verdict is NotRun if no
 // byte was sent and MayHaveRun otherwise; an error that already is a
 // *verdict.Error keeps its verdict.
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -24,6 +24,10 @@
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
 	arrivalLimit, arrivalTime time.Duration
+	// openedAt is when the connection was opened, and responses is the number of responses
+	// that it has carried since, those that were discarded included.
+	openedAt  time.Time
+	responses int
 	// unnamed means that the connection has carried a response that named no call.
 	unnamed bool
 	// idleSince is when the connection was returned to the pool.
@@ -103,7 +107,7 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc}
+	c := &conn{Conn: nc, openedAt: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -21,6 +21,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 const (
@@ -149,6 +151,11 @@
 	// returns. If Read returns an error, Exchange returns it and closes the connection,
 	// except for ErrOtherCall.
 	Read func(*fasthttp.Response) error
+	// Arrival, unless nil, is set before Matches and Read are called.
+	Arrival *port.Arrival
+	// Discarded, unless nil, is called with the header of each response to another call. Arrival
+	// is that of the response.
+	Discarded func(*fasthttp.Response)
 }
 
 // Exchange is like Do for a request that call.Write writes. It returns
@@ -208,11 +215,16 @@
 func readResponses(c *conn, call Call) (bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	for range maxResponsesPerCall {
+	before := c.responses
+	for discarded := range maxResponsesPerCall {
 		resp.Reset()
 		if err := c.readHeader(resp); err != nil {
 			return false, err
 		}
+		c.responses++
+		if call.Arrival != nil {
+			*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt)}
+		}
 		c.attachBody(resp, call.NoBody)
 		if call.Matches == nil || call.Matches(resp) {
 			reusable, err := readResponse(c, resp, call)
@@ -220,6 +232,9 @@
 				return reusable, err
 			}
 		}
+		if call.Discarded != nil {
+			call.Discarded(resp)
+		}
 		// The call's own response follows, so that a silence is no reason to give up.
 		c.limitArrival(discardTimeout)
 		usable := discardRest(resp)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -155,6 +155,7 @@
 		Paths: n.health, Snapshot: func() *facts.Snapshot { return n.replica.Current() }, Rest: n.advisories.Rest, Leaves: n.advisories.Leaves, Notice: n.notice,
 		MaxCarried: int(s.MemoryBytes / heldMemoryDivisor / carriedBytes), Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.relay.ObserveNotices(n.observeNotice)
+	n.relay.ObserveAnswers(answerLog{log, n.metrics.Scope}.observe)
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		CrashEntryName: crashing.EntryName, VersionEntryName: origins.VersionEntryName,
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -150,7 +150,7 @@
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
 	r.attempts++
 	r.attempted[e.ID] = true
-	r.respondingSince = time.Time{}
+	r.respondingSince, r.record.answer = time.Time{}, nil
 	ctx, failover := r.watch(parent, e)
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
@@ -229,7 +229,7 @@
 // a repeatable request in r.fallback instead and returns an error. startedAt is
 // when the attempt started.
 func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
-	r.respondingSince = r.cfg.Clock.Now()
+	r.respondingSince, r.record.answer = r.cfg.Clock.Now(), answerAttrs(response)
 	switch {
 	case response.NotRun:
 		return refusalError(response)
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 // logRecord holds values for the log line and the metrics of an exchange.
@@ -24,6 +25,8 @@
 	// status is the HTTP status of the endpoint's response that is forwarded; 0 if
 	// none is.
 	status int
+	// answer describes the last attempt's response; nil if there was none.
+	answer []slog.Attr
 	// gaveUp is why this host gave up the last attempt; nil if it did not.
 	gaveUp error
 	// stagesTime is the time spent on executing stages, including reruns, and
@@ -50,6 +53,7 @@
 	if r.record.gaveUp != nil {
 		attrs = append(attrs, slog.Any("given_up_because", r.record.gaveUp))
 	}
+	attrs = append(attrs, r.record.answer...)
 	if shared := r.sharedPromptParts(); len(shared) > 0 && verdict.Of(err) != verdict.NotRun {
 		attrs = append(attrs, slog.Any("prompt_parts", shared))
 	}
@@ -59,6 +63,18 @@
 	}
 }
 
+// answerAttrs describes a response and how it reached the platform.
+func answerAttrs(answer *port.EndpointResponse) []slog.Attr {
+	attrs := []slog.Attr{slog.Int("answer_status", answer.Status), slog.Bool("answer_named", answer.HasAttemptID)}
+	if a := answer.Arrival; a != nil {
+		attrs = append(attrs, slog.Int("connection_answers", a.Before), slog.Int("answers_discarded", a.Discarded), slog.Int64("connection_ms", a.ConnectionAge.Milliseconds()))
+	}
+	if answer.Carrier != "" {
+		attrs = append(attrs, slog.String("over_host", answer.Carrier))
+	}
+	return attrs
+}
+
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
@@ -112,6 +128,7 @@
 	if r.record.timeToFirstEvent > 0 {
 		attrs = append(attrs, slog.Int64("first_event_ms", r.record.timeToFirstEvent.Milliseconds()), slog.Int("resumed", r.record.resumes))
 	}
+	attrs = append(attrs, r.record.answer...)
 	if err != nil {
 		e := verdict.From(err)
 		outcome = string(e.Code)
--- a/internal/exchange/pathloss_soak_test.go
+++ b/internal/exchange/pathloss_soak_test.go
@@ -304,6 +304,9 @@
 	h.observe = observe
 }
 
+// ObserveAnswers implements port.EndpointClient.
+func (h *pathHost) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
+
 // checkRest records a request to an endpoint, which may have asked this host for rest.
 func (h *pathHost) checkRest(endpoint string) {
 	h.mu.Lock()
--- a/internal/exchange/soak_endpoints_test.go
+++ b/internal/exchange/soak_endpoints_test.go
@@ -116,3 +116,6 @@
 
 // ObserveNotices implements port.EndpointClient.
 func (s *soak) ObserveNotices(func(*catalog.Endpoint, port.EndpointNotice)) {}
+
+// ObserveAnswers implements port.EndpointClient.
+func (s *soak) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -116,6 +116,10 @@
 	ContentEncoded bool
 	// HasAttemptID means that the response carries an attempt id.
 	HasAttemptID bool
+	// Arrival is nil if the host that carried the call does not tell.
+	Arrival *Arrival
+	// Carrier is the host that carried the call; empty for none.
+	Carrier string
 	// Load is the load reported in the response; nil if there was none.
 	Load *EndpointLoad
 }
@@ -221,6 +225,9 @@
 	// it, unless that is nothing. Calls may be concurrent. It must be called before the
 	// client is used.
 	ObserveNotices(observe func(e *catalog.Endpoint, n EndpointNotice))
+	// ObserveAnswers has observe called with each response that this host reads from an
+	// endpoint, also for calls that it carries. It is called at most once, before all others.
+	ObserveAnswers(observe func(e *catalog.Endpoint, a EndpointAnswer))
 }
 
 // EndpointReport is the state that an endpoint reports.
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -265,7 +265,7 @@
 	if err == nil {
 		var reply callReply
 		if err = cbor.Unmarshal(encoded, &reply); err == nil && reply.Failure != nil {
-			err = reply.Failure.decode()
+			err = reply.Failure.decode(host)
 		}
 	}
 	c.record(host, e, err == nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -124,6 +124,11 @@
 // Close cancels the exchanges that this host carries and refuses others.
 func (c *Client) Close() { c.carried.close() }
 
+// ObserveAnswers implements port.EndpointClient.
+func (c *Client) ObserveAnswers(observe func(*catalog.Endpoint, port.EndpointAnswer)) {
+	c.cfg.Direct.ObserveAnswers(observe)
+}
+
 // ObserveNotices implements port.EndpointClient.
 func (c *Client) ObserveNotices(observe func(*catalog.Endpoint, port.EndpointNotice)) {
 	c.observer = observe
@@ -308,19 +313,19 @@
 		return reply, err
 	}
 	c.learn(host, e, reply.Notice, kind == kindRunPieces && reply.Failure == nil)
-	return reply, reply.Failure.error()
+	return reply, reply.Failure.error(host)
 }
 
-// error returns the error of a failure, a *notCarriedError if the call was not sent; nil
-// for nil.
-func (f *failure) error() error {
+// error returns the error of a carrier's failure, a *notCarriedError if the call was not
+// sent; nil for nil.
+func (f *failure) error(carrier string) error {
 	switch {
 	case f == nil:
 		return nil
 	case f.NotCarried:
-		return &notCarriedError{f.decode()}
+		return &notCarriedError{f.decode(carrier)}
 	default:
-		return f.decode()
+		return f.decode(carrier)
 	}
 }
 
@@ -348,12 +353,12 @@
 	}
 	if p.Head == nil {
 		c.learn(host, r.Endpoint, p.Notice, false)
-		return p.Failure.error()
+		return p.Failure.error(host)
 	}
 	c.learn(host, r.Endpoint, p.Head.Notice, p.Head.NotRun || p.Head.Signed && p.Head.HasAttemptID)
 	body.take(p)
 	defer body.close()
-	return read(p.Head.decode(body))
+	return read(p.Head.decode(host, body))
 }
 
 // newID returns an id that no other exchange has.
@@ -387,7 +392,7 @@
 	if p.End {
 		b.ended, b.err = true, io.EOF
 		if p.Failure != nil {
-			b.err = p.Failure.decode()
+			b.err = p.Failure.decode(b.host)
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -110,6 +110,9 @@
 
 func (f *fakeClient) ObserveNotices(func(*catalog.Endpoint, port.EndpointNotice)) {}
 
+// ObserveAnswers implements port.EndpointClient.
+func (f *fakeClient) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
+
 func (f *fakeClient) Probe(context.Context, *catalog.Endpoint, bool) (port.EndpointReport, error) {
 	if f.lost {
 		return port.EndpointReport{}, unreached()
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -110,16 +110,18 @@
 	Load           *port.EndpointLoad `cbor:"9,keyasint,omitempty"`
 	// Notice is what the carrier knows the endpoint to say of itself.
 	Notice port.EndpointNotice `cbor:"10,keyasint"`
+	// Arrival is how the response reached the carrier; nil from hosts of earlier versions.
+	Arrival *port.Arrival `cbor:"11,keyasint,omitempty"`
 }
 
 func encodeHead(r *port.EndpointResponse, notice port.EndpointNotice) *responseHead {
 	return &responseHead{Status: r.Status, Header: r.Header, Length: r.Length, NotRun: r.NotRun, Misdirected: r.Misdirected, Signed: r.Signed,
-		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice}
+		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice, Arrival: r.Arrival}
 }
 
-func (h *responseHead) decode(body io.Reader) *port.EndpointResponse {
+func (h *responseHead) decode(carrier string, body io.Reader) *port.EndpointResponse {
 	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: h.NotRun, Misdirected: h.Misdirected, Signed: h.Signed,
-		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Body: body}
+		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
 }
 
 // stageRequest asks a carrier to make a stage call, or to free results.
@@ -160,11 +162,12 @@
 	return &failure{Code: code, NotRun: true, Message: reason, NotCarried: true}
 }
 
-// decode returns the error as this host would have got it from the endpoint.
-func (f *failure) decode() error {
-	cause := errors.New(f.Message)
+// decode returns the error of the carrier as this host would have got it from the endpoint.
+func (f *failure) decode(carrier string) error {
+	message := "host " + carrier + ": " + f.Message
+	cause := errors.New(message)
 	if f.ConnectionLost {
-		cause = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, f.Message)}
+		cause = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, message)}
 	}
 	v := verdict.MayHaveRun
 	if f.NotRun {
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -50,6 +50,9 @@
 
 func (f *fakeEndpoints) ObserveNotices(func(*catalog.Endpoint, port.EndpointNotice)) {}
 
+// ObserveAnswers implements port.EndpointClient.
+func (f *fakeEndpoints) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
+
 func (f *fakeEndpoints) RunPieces(ctx context.Context, e *catalog.Endpoint, pieces []port.Piece) ([]port.PieceResult, error) {
 	f.mu.Lock()
 	f.activeCalls[e.ID]++
