Take an answer without an attempt's id for its own only on a new connection

What callers and endpoints saw: requests that may run once ran at two endpoints (TWICE), or were refused with 503 while an endpoint ran them (REFUSED); requests could run with the stage results of others (MIXED).

Cause: the first answer without an id was always believed. An endpoint that sent a refusal out of turn, after a whole answer, had it taken for that of the request in progress; the guard so far looked at what the connection had carried, not at what arrived. A stage call's answer without handles was believed likewise and its connection used further with the call's own answer still due.

Change: an answer without the id counts only as the first one on its connection, where it can belong to no other request. Later ones are discarded and the request waits for its own; one that may be repeated counts as possibly run and is sent elsewhere, over a closed connection. A stage call's answer without handles ends its connection unless it is the first one there. A carrier of an earlier version is believed only if its refusal has the id. An answer that is no refusal and names no attempt is not forwarded.

--- a/internal/adapter/httpcall/body_test.go
+++ b/internal/adapter/httpcall/body_test.go
@@ -77,8 +77,13 @@
 	addr := serveResponse(t, "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 3\r\n\r\nnew")
 	var got string
 	_, err := p.Exchange(context.Background(), addr, false, Call{
-		Write:   func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
-		Matches: func(r *fasthttp.Response) bool { return string(r.Header.Peek("X-Id")) == "new" },
+		Write: func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
+		Matches: func(r *fasthttp.Response, _ bool) Match {
+			if string(r.Header.Peek("X-Id")) != "new" {
+				return MatchOther
+			}
+			return MatchOwn
+		},
 		Read: func(r *fasthttp.Response) error {
 			raw, err := ReadBody(r, 100)
 			got = string(raw)
--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"os"
-	"slices"
 	"time"
 )
 
@@ -28,8 +27,6 @@
 	// that it has carried since, those that were discarded included.
 	openedAt  time.Time
 	responses int
-	// unnamed means that the connection has carried a response that named no call.
-	unnamed bool
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
 	// serverIdleTimeout is how long the server keeps the connection open while
@@ -67,33 +64,11 @@
 	return n, err
 }
 
-// preference says which of the idle connections a call takes.
-type preference uint8
-
-const (
-	anyConn preference = iota
-	// namedOnly stands for connections without an unnamed response.
-	namedOnly
-	// unnamedFirst leaves these to other calls, unless there are no others.
-	unnamedFirst
-)
-
-func preferenceOf(call Call) preference {
-	switch {
-	case call.OnlyNamed:
-		return namedOnly
-	case call.Named == nil:
-		return unnamedFirst
-	default:
-		return anyConn
-	}
-}
-
 // acquire returns an idle connection to addr or dials a new one. With forceNew it
 // always dials.
-func (p *Pool) acquire(ctx context.Context, addr string, forceNew bool, prefer preference) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, addr string, forceNew bool) (*conn, error) {
 	if !forceNew {
-		if c := p.takeIdle(addr, prefer); c != nil {
+		if c := p.takeIdle(addr); c != nil {
 			return c, nil
 		}
 	}
@@ -112,21 +87,19 @@
 	return c
 }
 
-// takeIdle removes the most recently used idle connection to addr that is preferred and
-// still usable and returns it, or nil if there is none. It closes the unusable ones that it
-// finds.
-func (p *Pool) takeIdle(addr string, prefer preference) *conn {
+// takeIdle removes the most recently used idle connection to addr that is still usable and
+// returns it, or nil if there is none. It closes the unusable ones that it finds.
+func (p *Pool) takeIdle(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		i := lastPreferred(p.idle[addr], prefer)
-		if i < 0 {
-			return nil
-		}
-		c := p.idle[addr][i]
-		if p.idle[addr] = slices.Delete(p.idle[addr], i, i+1); len(p.idle[addr]) == 0 {
+		conns := p.idle[addr]
+		if len(conns) == 0 {
 			delete(p.idle, addr)
+			return nil
 		}
+		c := conns[len(conns)-1]
+		p.idle[addr] = conns[:len(conns)-1]
 		if time.Since(c.idleSince) < p.idleTimeoutOf(c) && isReusable(c.Conn) {
 			return c
 		}
@@ -134,20 +107,6 @@
 	}
 }
 
-// lastPreferred returns the index of the last connection that is preferred, -1 if there is
-// none.
-func lastPreferred(conns []*conn, prefer preference) int {
-	for i := len(conns) - 1; i >= 0; i-- {
-		if prefer == anyConn || conns[i].unnamed == (prefer == unnamedFirst) {
-			return i
-		}
-	}
-	if prefer == unnamedFirst {
-		return len(conns) - 1
-	}
-	return -1
-}
-
 // idleTimeoutOf returns how long c may be idle and still be reused.
 func (p *Pool) idleTimeoutOf(c *conn) time.Duration {
 	if c.serverIdleTimeout > 0 {
--- a/internal/adapter/httpcall/header_test.go
+++ b/internal/adapter/httpcall/header_test.go
@@ -131,8 +131,13 @@
 		})
 		var body []byte
 		_, err := p.Exchange(t.Context(), "server", false, Call{
-			Write:   func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
-			Matches: func(r *fasthttp.Response) bool { return len(r.Header.Peek("X-Id")) == 0 },
+			Write: func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
+			Matches: func(r *fasthttp.Response, _ bool) Match {
+				if len(r.Header.Peek("X-Id")) > 0 {
+					return MatchOther
+				}
+				return MatchOwn
+			},
 			Read: func(r *fasthttp.Response) error {
 				var err error
 				body, err = ReadBody(r, 100)
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -50,10 +50,12 @@
 // ErrTooLarge means that a response body exceeded its size limit.
 var ErrTooLarge = errors.New("response too large")
 
-// ErrUnexpectedResponse means that the connection carried only responses for which
-// Call.Matches returned false.
+// ErrUnexpectedResponse means that the connection carried only responses to other calls.
 var ErrUnexpectedResponse = errors.New("connection carried only responses to other calls")
 
+// ErrAmbiguousResponse means that Call.Matches returned MatchUnknown.
+var ErrAmbiguousResponse = errors.New("response names no call and may belong to another one")
+
 // ErrOtherCall is returned by Call.Read for a response that it found to belong to an earlier
 // call. The response is discarded, and Read is called with the next one.
 var ErrOtherCall = errors.New("response to another call")
@@ -135,16 +137,15 @@
 type Call struct {
 	// Write writes the request to w, which is flushed afterwards.
 	Write func(w *bufio.Writer) error
-	// Matches reports whether a response belongs to this call; other responses are
-	// discarded. If it is nil, the first response is used.
-	Matches func(*fasthttp.Response) bool
-	// Named reports, after Read, whether the response names its call, so that a late copy of it
-	// can be told from the response to a later call. If it is nil, the response doesn't, and
-	// Read has to cope with a copy of another one.
+	// Matches tells from the header whether a response belongs to this call. first means that it
+	// is the first one on its connection, which can belong to no earlier call. Nil stands for a
+	// function that always returns MatchOwn.
+	Matches func(resp *fasthttp.Response, first bool) Match
+	// Named reports, after Read, whether the response names its call. A response that doesn't may
+	// belong to an earlier call, unless it is the first one on its connection; the call's own is
+	// then still due, so that the connection is closed. If Named is nil, the connection is used
+	// further.
 	Named func(*fasthttp.Response) bool
-	// OnlyNamed means that the call may not get a copy of the response to another one: it is
-	// sent on a connection on which all responses so far named their calls.
-	OnlyNamed bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
 	// Read receives the response with its body unread; the response is valid until Read
@@ -158,13 +159,27 @@
 	Discarded func(*fasthttp.Response)
 }
 
+// Match says whether a response belongs to a call.
+type Match uint8
+
+const (
+	// MatchOwn means that the response is the call's own.
+	MatchOwn Match = iota
+	// MatchOther means that the response belongs to another call. It is discarded: the call's own
+	// is still due.
+	MatchOther
+	// MatchUnknown means that the response may belong to the call or not. It ends the call with
+	// ErrAmbiguousResponse.
+	MatchUnknown
+)
+
 // Exchange is like Do for a request that call.Write writes. It returns
-// ErrUnexpectedResponse if no response matched.
+// ErrUnexpectedResponse if no response matched, and ErrAmbiguousResponse.
 func (p *Pool) Exchange(ctx context.Context, addr string, forceNew bool, call Call) (int, error) {
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
-	c, err := p.acquire(ctx, addr, forceNew, preferenceOf(call))
+	c, err := p.acquire(ctx, addr, forceNew)
 	if err != nil {
 		return 0, err
 	}
@@ -226,7 +241,11 @@
 			*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt)}
 		}
 		c.attachBody(resp, call.NoBody)
-		if call.Matches == nil || call.Matches(resp) {
+		match := MatchOwn
+		if call.Matches != nil {
+			match = call.Matches(resp, c.responses == 1)
+		}
+		if match == MatchOwn {
 			reusable, err := readResponse(c, resp, call)
 			if !errors.Is(err, ErrOtherCall) {
 				return reusable, err
@@ -235,6 +254,9 @@
 		if call.Discarded != nil {
 			call.Discarded(resp)
 		}
+		if match == MatchUnknown {
+			return false, ErrAmbiguousResponse
+		}
 		// The call's own response follows, so that a silence is no reason to give up.
 		c.limitArrival(discardTimeout)
 		usable := discardRest(resp)
@@ -271,12 +293,8 @@
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
-	named := call.Named != nil && call.Named(resp)
-	// This may be a copy of an unnamed response that the connection carried before. Then the
-	// call's own one is still due.
-	mayBeCopy := call.Named != nil && !named && c.unnamed
-	c.unnamed = c.unnamed || !named
-	return c.reader.Buffered() == 0 && !mayBeCopy, nil
+	ownIsDue := call.Named != nil && c.responses > 1 && !call.Named(resp)
+	return c.reader.Buffered() == 0 && !ownIsDue, nil
 }
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces, because a
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -156,8 +156,9 @@
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
 	var load *port.EndpointLoad
-	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), Customer: r.customer, Remaining: r.remainingTime(),
+	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), SentBefore: r.sentTo[e.ID], Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.currentResults().handles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
+	r.sentTo[e.ID] = true
 	startedAt := r.cfg.Clock.Now()
 	silence := time.AfterFunc(max(minVerifyDelay, r.route.TargetLatency), func() { r.cfg.Health.Verify(e) })
 	defer silence.Stop()
@@ -233,7 +234,7 @@
 	switch {
 	case response.NotRun:
 		return refusalError(response)
-	case response.ContentEncoded, isSuccess(response.Status) && (!response.Signed || !response.HasAttemptID):
+	case response.ContentEncoded, !response.HasAttemptID, isSuccess(response.Status) && !response.Signed:
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
 		return r.forwardStream(ctx, response, failover, startedAt)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -148,9 +148,10 @@
 	// for its successor runs concurrently with it.
 	attemptMu sync.Mutex
 	results   stageResults
-	// attempted holds the ids of the endpoints to which the exchange was sent.
-	attempted map[string]bool
-	attempts  int
+	// sentTo holds the ids of the endpoints to which the exchange was sent, and attempted those
+	// of them to which it isn't sent again for now.
+	sentTo, attempted map[string]bool
+	attempts          int
 	// executedAttempts is the number of failed attempts that an endpoint may have
 	// run.
 	executedAttempts int
@@ -189,7 +190,7 @@
 // Exchange handles one exchange and writes its response, or an error, to out. The
 // exchange is abandoned when ctx ends.
 func (s *Server) Exchange(ctx context.Context, x *port.Exchange, out port.Responder) {
-	r := &exchangeRun{Server: s, exchange: x, responder: out, snapshot: s.cfg.Snapshot(), attempted: make(map[string]bool)}
+	r := &exchangeRun{Server: s, exchange: x, responder: out, snapshot: s.cfg.Snapshot(), sentTo: make(map[string]bool), attempted: make(map[string]bool)}
 	err := r.admit()
 	if err == nil {
 		err = r.serve(ctx)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -83,6 +83,9 @@
 	Endpoint *catalog.Endpoint
 	// MayRepeat says that the exchange may run more than once.
 	MayRepeat bool
+	// SentBefore says that the endpoint has been sent the exchange before: it is sent on a new
+	// connection, since a late copy of the former response has the same attempt id.
+	SentBefore bool
 	// Customer is sent to the endpoint; empty for none.
 	Customer string
 	// Remaining is the time left until the exchange's deadline.
@@ -105,7 +108,8 @@
 	Body io.Reader
 	// Length is the size of the body in bytes, or -1 if unknown.
 	Length int64
-	// NotRun means that the endpoint did not run and will not run the request.
+	// NotRun means that the endpoint did not run and will not run the request. It is set only
+	// for a response that can't belong to another request.
 	NotRun bool
 	// Misdirected means that another endpoint now has the address.
 	Misdirected bool
--- a/internal/relay/arrival_test.go
+++ b/internal/relay/arrival_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -30,3 +31,26 @@
 		})
 	}
 }
+
+// TestRefusalOverACarrierOfAnEarlierVersionNeedsTheID guards against a request that runs although it was
+// refused: a carrier of an earlier version believes refusals that may belong to another request.
+func TestRefusalOverACarrierOfAnEarlierVersionNeedsTheID(t *testing.T) {
+	for _, tc := range []struct {
+		named   bool
+		arrival *port.Arrival
+		notRun  bool
+	}{{true, nil, true}, {false, nil, false}, {false, &port.Arrival{}, true}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(2, func(_ context.Context, read func(*port.EndpointResponse) error) error {
+				return read(&port.EndpointResponse{Status: 503, NotRun: true, HasAttemptID: tc.named, Arrival: tc.arrival, Body: strings.NewReader("")})
+			})
+			is.NoErr(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint))
+			r := &port.EndpointRequest{Exchange: &port.Exchange{ID: "a1", Method: "POST"}, Endpoint: f.endpoint, Remaining: 20 * time.Second}
+			is.NoErr(f.clients[0].Forward(t.Context(), r, func(response *port.EndpointResponse) error {
+				is.Equal(response.NotRun, tc.notRun)
+				return nil
+			}))
+		})
+	}
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -57,17 +57,18 @@
 	Inputs     []string           `cbor:"12,keyasint"` // nil and empty differ
 	ResumeFrom string             `cbor:"13,keyasint"`
 	MayRepeat  bool               `cbor:"14,keyasint,omitempty"`
+	SentBefore bool               `cbor:"15,keyasint,omitempty"`
 }
 
 func encodeForward(id string, r *port.EndpointRequest) *forwardRequest {
 	x := r.Exchange
 	return &forwardRequest{ID: id, Endpoint: refTo(r.Endpoint), AttemptID: x.ID, Method: x.Method, Target: x.Target, Host: x.Host, Header: x.Header, Body: x.Body,
-		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom, MayRepeat: r.MayRepeat}
+		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom, MayRepeat: r.MayRepeat, SentBefore: r.SentBefore}
 }
 
 func (f *forwardRequest) decode(e *catalog.Endpoint) *port.EndpointRequest {
 	x := &port.Exchange{ID: f.AttemptID, Method: f.Method, Target: f.Target, Host: f.Host, Header: f.Header, Body: f.Body}
-	return &port.EndpointRequest{Exchange: x, Endpoint: e, MayRepeat: f.MayRepeat, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
+	return &port.EndpointRequest{Exchange: x, Endpoint: e, MayRepeat: f.MayRepeat, SentBefore: f.SentBefore, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
 }
 
 // probeRequest asks a host whether it reaches an endpoint, and for a new report of the
@@ -119,8 +120,11 @@
 		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice, Arrival: r.Arrival}
 }
 
+// decode returns the response as this host would have got it from the endpoint. Carriers of
+// earlier versions also pass on refusals that name no attempt and may belong to another one.
 func (h *responseHead) decode(carrier string, body io.Reader) *port.EndpointResponse {
-	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: h.NotRun, Misdirected: h.Misdirected, Signed: h.Signed,
+	notRun := h.NotRun && (h.HasAttemptID || h.Arrival != nil)
+	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: notRun, Misdirected: h.Misdirected, Signed: h.Signed,
 		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
 }
 
