Join only the rest of a stream to a stream that has begun

Callers saw the body of a response that is no stream in the middle of theirs, or a stream that ended as complete before its last event (ORDER, MIXED).

Cause: once a stream had begun, any 2xx that answered its resumption was forwarded as the rest. One without a body or an event ended the stream as complete: 204, an empty 200, comments. The body of a 206 or of another kind of response was joined to it. A large error reached the responder's WriteHeader a second time, and the log said that the caller had gone.

The header of a response is written once, in one place.

What may count as complete: a server continues after Last-Event-Id, so one with nothing left sends no event, and so does a faulty one. No response without an event tells them apart. The endpoint that sent no event is asked once more, from the event before the newest: if it sends that event and then the end, the stream is complete. Both requests to it count as one of the endpoints that the route allows, and each takes a retry of the budget.

--- a/internal/exchange/body.go
+++ b/internal/exchange/body.go
@@ -150,10 +150,8 @@
 // and the rest as it arrives, up to maxResponseBytes. The caller doesn't take a body that
 // breaks off for complete.
 func (r *exchangeRun) forwardRest(b *bufferedResponse, body io.Reader, length int64) error {
-	r.record.status = b.status
-	r.responseStarted = true
-	if err := r.responder.WriteHeader(b.status, b.header, length); err != nil {
-		return callerGoneError(err)
+	if err := r.writeHeader(b.status, b.header, length); err != nil {
+		return err
 	}
 	for _, chunk := range b.chunks {
 		if err := r.responder.Write(chunk); err != nil {
--- a/internal/exchange/body_test.go
+++ b/internal/exchange/body_test.go
@@ -119,7 +119,7 @@
 			out := &recorder{}
 			handle := func(body []byte) error {
 				out = &recorder{}
-				r.responder, r.responseStarted = out, false
+				r.responder, r.headerWritten = out, false
 				return r.handleResponse(t.Context(), &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -2, Body: bytes.NewReader(body)}, nil, time.Time{})
 			}
 			is.NoErr(handle(testBody(800)))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -13,11 +13,17 @@
 func TestEventsAlreadySentToTheCallerAreDropped(t *testing.T) {
 	is := is.New(t)
 	r := &exchangeRun{exchange: &port.Exchange{ResumeFrom: "1"}}
+	joined := true
+	unsent := func(events string) string {
+		taken, err := r.takeUnsentEvents([]byte(events), &joined)
+		is.NoErr(err)
+		return string(taken)
+	}
 	is.Equal(r.stream.resumeFrom(r.exchange), "1")
-	is.Equal(string(r.takeUnsentEvents([]byte("id: 2\ndata: a\n\nid: 3\ndata: b\n\n"))), "id: 2\ndata: a\n\nid: 3\ndata: b\n\n")
+	is.Equal(unsent("id: 2\ndata: a\n\nid: 3\ndata: b\n\n"), "id: 2\ndata: a\n\nid: 3\ndata: b\n\n")
 	is.Equal(r.stream.resumeFrom(r.exchange), "3")
-	is.Equal(string(r.takeUnsentEvents([]byte("id: 2\ndata: a\n\nid: 3\ndata: b\n\nid: 4\ndata: c\n\n"))), "id: 4\ndata: c\n\n")
-	is.Equal(string(r.takeUnsentEvents([]byte("data: without an id\n\n"))), "data: without an id\n\n")
+	is.Equal(unsent("id: 2\ndata: a\n\nid: 3\ndata: b\n\nid: 4\ndata: c\n\n"), "id: 4\ndata: c\n\n")
+	is.Equal(unsent("data: without an id\n\n"), "data: without an id\n\n")
 	is.Equal(r.stream.lastEventID, "4")
 }
 
--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -132,14 +132,15 @@
 		f.wasUnreachable.Store(true)
 		return true
 	}
-	if f.wasUnreachable.Load() && f.isUsable() {
+	if f.wasUnreachable.Load() && f.run.isUsable(f.endpoint.Incarnation()) {
 		f.wasUnreachable.Store(false)
 	}
 	return f.wasUnreachable.Load()
 }
 
-func (f *failover) isUsable() bool {
-	return slices.ContainsFunc(f.run.cfg.Snapshot().Usable[f.endpoint.Service], func(e *catalog.Endpoint) bool { return e.Incarnation() == f.endpoint.Incarnation() })
+// isUsable reports whether an endpoint of the service is in the newest snapshot.
+func (r *exchangeRun) isUsable(i catalog.Incarnation) bool {
+	return slices.ContainsFunc(r.cfg.Snapshot().Usable[r.service.Name], func(e *catalog.Endpoint) bool { return e.Incarnation() == i })
 }
 
 // raise adds a doubt and starts a search for a successor unless one runs.
@@ -259,10 +260,11 @@
 				return nil, err
 			}
 			lastErr = nil
+			endpoints, criteria := r.candidates()
 			if e := r.takeSuccessor(); e != nil {
 				return e, nil
 			}
-			if e := r.cfg.Balancer.Pick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)); e != nil {
+			if e := r.cfg.Balancer.Pick(endpoints, criteria); e != nil {
 				return e, nil
 			}
 			err = r.noEndpointError()
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -81,7 +81,7 @@
 // that is set and no response has started. Otherwise it returns defaultErr, or
 // lastErr if defaultErr is nil.
 func (r *exchangeRun) abandon(lastErr, defaultErr error) error {
-	if r.fallback != nil && !r.stream.started && !r.responseStarted {
+	if r.fallback != nil && !r.headerWritten {
 		return r.writeResponse(r.fallback)
 	}
 	if defaultErr != nil {
@@ -104,10 +104,10 @@
 }
 
 // awaitRetry waits until the budget has a retry for an exchange that must go on after a
-// refusal. It reports false for other exchanges, at the end of ctx, and once waiting
+// refusal, or may be at its end. It reports false for other exchanges, at the end of ctx, and once waiting
 // exchanges are refused.
 func (r *exchangeRun) awaitRetry(ctx context.Context, err error) bool {
-	if !r.mustGoOn || verdict.Of(err) != verdict.NotRun {
+	if !r.mustGoOn || verdict.Of(err) != verdict.NotRun && !r.stream.mayBeAtEnd {
 		return false
 	}
 	for ctx.Err() == nil && r.ending.Err() == nil {
@@ -150,6 +150,8 @@
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
 	r.attempts++
 	r.attempted[e.ID] = true
+	r.lastEndpoint = e.Incarnation()
+	asked := r.stream.mayBeAtEnd
 	r.respondingSince, r.record.answer = time.Time{}, nil
 	ctx, failover := r.watch(parent, e)
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
@@ -169,9 +171,7 @@
 	})
 	r.record.gaveUp = failover.end()
 	r.mustGoOn = r.mustGoOn || r.successor != nil
-	if err != nil && verdict.Of(err) != verdict.NotRun {
-		r.executedAttempts++
-	}
+	r.countAttempt(err, asked)
 	outcome := r.classifyOutcome(parent, err)
 	if outcome == balance.ConnectionFailed || outcome == balance.GivenUp {
 		r.cfg.Health.RecordFailure(e)
@@ -218,7 +218,9 @@
 		return balance.AddressReused
 	case e.Code == verdict.CodeConflict:
 		return balance.Cancelled
-	case r.fallback != nil, e.Code == verdict.CodeDeadlineExceeded:
+	case errors.Is(err, errNoRest) && r.stream.mayBeAtEnd:
+		return balance.Cancelled
+	case r.fallback != nil, errors.Is(err, errNoRest), e.Code == verdict.CodeDeadlineExceeded:
 		return balance.Failed
 	default:
 		return balance.ConnectionFailed
@@ -236,6 +238,11 @@
 		return refusalError(response)
 	case response.ContentEncoded, !response.HasAttemptID, isSuccess(response.Status) && !response.Signed:
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
+	case r.stream.started:
+		if err := r.checkRest(response); err != nil {
+			return err
+		}
+		return r.forwardStream(ctx, response, failover, startedAt)
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
 		return r.forwardStream(ctx, response, failover, startedAt)
 	}
@@ -274,22 +281,31 @@
 
 // HTTP statuses of endpoint responses that are handled specially.
 const (
+	statusOK          = 200
 	statusConflict    = 409
 	statusServerError = 500
 )
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// writeResponse writes a complete response to the caller. It returns an error if
-// events were already sent to the caller.
-func (r *exchangeRun) writeResponse(b *bufferedResponse) error {
-	if r.stream.started {
-		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "stream can't go on")
+// writeHeader begins the response to the caller, which happens once.
+func (r *exchangeRun) writeHeader(status int, header []port.HeaderField, length int64) error {
+	if r.headerWritten {
+		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "another response has begun")
 	}
-	r.record.status = b.status
-	if err := r.responder.WriteHeader(b.status, b.header, b.size); err != nil {
+	r.headerWritten = true
+	r.record.status = status
+	if err := r.responder.WriteHeader(status, header, length); err != nil {
 		return callerGoneError(err)
 	}
+	return nil
+}
+
+// writeResponse writes a complete response to the caller.
+func (r *exchangeRun) writeResponse(b *bufferedResponse) error {
+	if err := r.writeHeader(b.status, b.header, b.size); err != nil {
+		return err
+	}
 	for _, chunk := range b.chunks {
 		if err := r.responder.Write(chunk); err != nil {
 			return callerGoneError(err)
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -48,7 +48,7 @@
 func (r *exchangeRun) logFailedAttempt(e *catalog.Endpoint, err error, willRetry bool) {
 	attrs := []slog.Attr{slog.String("request", r.exchange.ID), slog.String("endpoint", e.ID),
 		slog.String("service", e.Service), slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Int64("endpoint_revision", e.Revision), slog.Int("sends", r.attempts), slog.Int("ran", r.executedAttempts),
-		slog.String("resume_from", r.stream.lastEventID), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
+		slog.String("resume_from", r.stream.resumeFrom(r.exchange)), slog.String("verdict", verdict.Of(err).String()), slog.Any("error", err),
 		slog.Bool("left_alone", r.cfg.Balancer.Unavailable(e)), slog.Bool("repeats", willRetry)}
 	if r.record.gaveUp != nil {
 		attrs = append(attrs, slog.Any("given_up_because", r.record.gaveUp))
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -152,6 +152,8 @@
 	// of them to which it isn't sent again for now.
 	sentTo, attempted map[string]bool
 	attempts          int
+	// lastEndpoint is that of the newest attempt.
+	lastEndpoint catalog.Incarnation
 	// executedAttempts is the number of failed attempts that an endpoint may have
 	// run.
 	executedAttempts int
@@ -173,10 +175,9 @@
 	// respondingSince is when the endpoint of the last attempt began to respond; zero if
 	// it has not.
 	respondingSince time.Time
-	// responseStarted is set once the header of a response that is no stream is sent
-	// before its body is complete.
-	responseStarted bool
-	stream          streamState
+	// headerWritten is set once the header of a response is sent to the caller.
+	headerWritten bool
+	stream        streamState
 	// origin is where the stream began: it may go on only there. It is nil before the
 	// first event of a stream that the caller doesn't take up, and for other exchanges.
 	origin *origin.Origin
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -34,9 +34,16 @@
 type streamState struct {
 	// started is set once the response header is sent.
 	started bool
+	// mediaType is that of the response that began the stream.
+	mediaType string
 	// lastEventID is the id of the last event sent to the caller; empty if none had
 	// an id.
 	lastEventID string
+	// secondLastEventID is that of the event before it; empty if there was none.
+	secondLastEventID string
+	// mayBeAtEnd is set after a response that resumed the stream and had no event: there may
+	// be none left, which the next attempt finds out.
+	mayBeAtEnd bool
 }
 
 // setStreamStarted and streamStarted access r.stream.started. Only the attempt's own
@@ -54,17 +61,23 @@
 }
 
 // resumeFrom returns the id of the event after which the next attempt resumes,
-// empty if the stream starts from its beginning.
+// empty if the stream starts from its beginning. At a stream's possible end it resumes one
+// event earlier: if the newest event is the last one, the rest is that event and its end.
 func (s *streamState) resumeFrom(x *port.Exchange) string {
-	if s.lastEventID != "" {
-		return s.lastEventID
+	id := s.lastEventID
+	if s.mayBeAtEnd {
+		id = s.secondLastEventID
+	}
+	if id != "" {
+		return id
 	}
 	return x.ResumeFrom
 }
 
 // forwardStream forwards events as they arrive. It forwards only complete
 // events, so that the stream can be resumed at another endpoint. A stream that
-// ends without an event or within one is an error.
+// ends without an event or within one is an error, and so is a response that is not the
+// rest of a stream that has begun.
 func (r *exchangeRun) forwardStream(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
 	var lastProgress atomic.Int64 // nanoseconds since startedAt
 	recordProgress := func() { lastProgress.Store(int64(r.cfg.Clock.Now().Sub(startedAt))) }
@@ -78,6 +91,8 @@
 		return (since == 0 || now-since < slowForward) && now-time.Duration(lastProgress.Load()) >= r.stallTimeout()
 	})
 	defer stall.Stop()
+	// joined is set once the response is known to bring the stream, or its rest.
+	joined := !r.stream.started
 	var pending []byte
 	countedBytes := uncountedBytes // of pending that count towards the budget, or need not
 	idleBytes := 0                 // received since the last event that was progress
@@ -89,7 +104,7 @@
 		if lastEnd >= 0 {
 			events := pending[:lastEnd+len(eventEnd)]
 			forwardingSince.Store(max(1, int64(r.cfg.Clock.Now().Sub(startedAt))))
-			progressed, err := r.forwardEvents(ctx, response, events, startedAt)
+			progressed, err := r.forwardEvents(ctx, response, events, startedAt, &joined)
 			if err != nil {
 				return err
 			}
@@ -104,6 +119,9 @@
 			pending = append(pending[:0], pending[len(events):]...)
 		}
 		switch {
+		case err == io.EOF && !joined:
+			r.stream.mayBeAtEnd = true
+			return noRest("endpoint did not resume the stream, its response has no event of the rest")
 		case err == io.EOF && len(pending) == 0 && r.stream.started:
 			if err := r.responder.Finish(); err != nil {
 				return callerGoneError(err)
@@ -129,8 +147,9 @@
 // forwardEvents sends complete events to the caller, except those that the caller
 // already has, and reports whether there was progress: an event with a field that the
 // caller did not have. At the first event of the exchange, it frees the stage results,
-// which the endpoint has fetched by then, and fixes the stream's origin.
-func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time) (progressed bool, err error) {
+// which the endpoint has fetched by then, and fixes the stream's origin. joined is that of
+// forwardStream.
+func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time, joined *bool) (progressed bool, err error) {
 	if r.record.timeToFirstEvent == 0 {
 		r.record.timeToFirstEvent = r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
 		r.recordTimeToFirstEvent(r.cfg.Clock.Now().Sub(startedAt))
@@ -139,16 +158,16 @@
 	if !r.stream.started {
 		r.fixOrigin(ctx)
 		r.setStreamStarted()
-		r.record.status = response.Status
-		if err := r.responder.WriteHeader(response.Status, response.Header, -1); err != nil {
-			return false, callerGoneError(err)
+		r.stream.mediaType = mediaType(response.Header)
+		if err := r.writeHeader(response.Status, response.Header, -1); err != nil {
+			return false, err
 		}
 	} else if r.record.resumes < r.attempts-1 {
 		r.record.resumes = r.attempts - 1
 	}
-	unsent := r.takeUnsentEvents(events)
-	if len(unsent) == 0 {
-		return false, nil
+	unsent, err := r.takeUnsentEvents(events, joined)
+	if err != nil || len(unsent) == 0 {
+		return false, err
 	}
 	if err := r.responder.Write(unsent); err != nil {
 		return false, callerGoneError(err)
@@ -168,23 +187,31 @@
 }
 
 // takeUnsentEvents returns the events that have not been sent to the caller yet and
-// advances lastEventID past them.
-func (r *exchangeRun) takeUnsentEvents(events []byte) []byte {
+// advances lastEventID past them. The newest event that the caller has, or a later one, joins
+// the response to the stream; what comes before that is dropped. An event without an id is
+// an error then: it may be one that the caller has, or no event at all.
+func (r *exchangeRun) takeUnsentEvents(events []byte, joined *bool) ([]byte, error) {
 	var unsent []byte
 	for len(events) > 0 {
 		end := bytes.Index(events, eventEnd) + len(eventEnd)
 		event := events[:end]
 		events = events[end:]
 		id := eventID(event)
-		if id != "" && !isLaterEvent(id, r.stream.lastEventID) {
+		switch {
+		case id != "" && !isLaterEvent(id, r.stream.lastEventID):
+			*joined = *joined || id == r.stream.lastEventID
+			continue
+		case id != "":
+			r.stream.secondLastEventID, r.stream.lastEventID = r.stream.lastEventID, id
+			*joined = true
+		case !*joined && hasFields(event):
+			return nil, noRest("endpoint did not resume the stream, its response begins without an event id")
+		case !*joined:
 			continue
-		}
-		if id != "" {
-			r.stream.lastEventID = id
 		}
 		unsent = append(unsent, event...)
 	}
-	return unsent
+	return unsent, nil
 }
 
 // isLaterEvent reports whether id is greater than last. It reports true if
