Forward only the rest of a stream that a caller takes up

Cause: whether a response brings the rest was checked only within one response. A caller's own Last-Event-Id did not count as what it has.

An empty 200 was an error before and remains one, but no longer counts as the endpoint's crash.

Change: the stream's newest event is the caller's. A response joins the stream with it or a later one, and nothing is sent before that, not the header either, so that another endpoint or a failure can still answer.

--- a/internal/exchange/rest_test.go
+++ b/internal/exchange/rest_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,6 +64,13 @@
 // forwardScripted sends a request on a resumable stream route to endpoints, three at most, that
 // respond as script says; n counts from 1. It returns what the caller got and what was sent.
 func forwardScripted(t *testing.T, maxAttempts int, script func(n int, resumeFrom string) scriptedResponse) (*headerCaller, []sent) {
+	t.Helper()
+	return takeUpScripted(t, "", maxAttempts, script)
+}
+
+// takeUpScripted is forwardScripted for a caller that takes a stream up after an event, if one
+// is given.
+func takeUpScripted(t *testing.T, after string, maxAttempts int, script func(n int, resumeFrom string) scriptedResponse) (*headerCaller, []sent) {
 	t.Helper()
 	c, requests := &headerCaller{}, []sent(nil)
 	synctest.Test(t, func(*testing.T) {
@@ -73,7 +81,18 @@
 			requests = append(requests, sent{r.Endpoint.ID, r.ResumeFrom})
 			return script(n, r.ResumeFrom).send(read)
 		}
-		h.exchange(c)
+		if after == "" {
+			h.exchange(c)
+		} else {
+			respond := h.forward
+			h.forward = func(_ context.Context, _ int, _ *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+				return begun.send(read)
+			}
+			h.exchange(&headerCaller{})
+			h.forward, h.calls = respond, 0
+			x := &port.Exchange{ID: "r2", Method: "POST", Host: "api.example", Path: "/x/1", Target: "/x/1", ReceivedAt: time.Now(), ResumeFrom: after, FirstAttempt: "r1"}
+			h.server.Exchange(context.Background(), x, c)
+		}
 		h.monitor.Close()
 	})
 	t.Logf("%v, error %v", requests, c.err)
@@ -255,3 +274,32 @@
 	is.True(c.finished)
 	is.Equal(c.body.String(), soundStream(5, "").body)
 }
+
+// TestStreamThatIsTakenUpGetsOnlyItsRest guards against a caller that gets events again, or
+// the end of the stream, from an endpoint that does not resume it.
+func TestStreamThatIsTakenUpGetsOnlyItsRest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		response scriptedResponse
+		events   string // that the caller gets of a stream that is complete
+	}{
+		"the rest":           {soundStream(4, "2"), soundStream(4, "2").body},
+		"from the beginning": {soundStream(4, ""), soundStream(4, "2").body},
+		"newest event":       {soundStream(2, "1"), ""},
+		"after comments":     {scriptedResponse{status: 200, kind: eventStream, body: ": a\n\n" + soundStream(4, "2").body}, soundStream(4, "2").body},
+		"comments only":      {response: scriptedResponse{status: 200, kind: eventStream, body: ": a\n\n"}},
+		"older events":       {response: soundStream(1, "")},
+		"no body":            {response: scriptedResponse{status: 200, kind: eventStream}},
+		"text":               {response: scriptedResponse{status: 200, kind: "text/plain", body: "it failed\n\n"}},
+		"no content":         {response: scriptedResponse{status: 204}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, _ := takeUpScripted(t, "2", 1, inTurn(tc.response))
+			whole := tc.events != "" || name == "newest event"
+			is.Equal(c.finished, whole)
+			is.Equal(c.started, whole)
+			is.Equal(c.body.String(), tc.events)
+			is.True(whole || verdict.Of(c.err) == verdict.MayHaveRun)
+		})
+	}
+}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -267,6 +267,7 @@
 		if err := r.findOrigin(ctx); err != nil {
 			return err
 		}
+		r.stream.lastEventID = r.exchange.ResumeFrom
 	}
 	r.cfg.RetryBudgets.RecordFirstAttempts(r.service.Name, 1)
 	if len(r.route.Stages) > 0 && !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria("")) {
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -36,8 +36,8 @@
 	started bool
 	// mediaType is that of the response that began the stream.
 	mediaType string
-	// lastEventID is the id of the last event sent to the caller; empty if none had
-	// an id.
+	// lastEventID is the id of the last event sent to the caller, also by an earlier attempt
+	// of it that this one takes up; empty if none had an id.
 	lastEventID string
 	// secondLastEventID is that of the event before it; empty if there was none.
 	secondLastEventID string
@@ -92,7 +92,7 @@
 	})
 	defer stall.Stop()
 	// joined is set once the response is known to bring the stream, or its rest.
-	joined := !r.stream.started
+	joined := !r.stream.started && r.stream.lastEventID == ""
 	var pending []byte
 	countedBytes := uncountedBytes // of pending that count towards the budget, or need not
 	idleBytes := 0                 // received since the last event that was progress
@@ -119,8 +119,8 @@
 			pending = append(pending[:0], pending[len(events):]...)
 		}
 		switch {
-		case err == io.EOF && !joined:
-			r.stream.mayBeAtEnd = true
+		case err == io.EOF && len(pending) == 0 && !joined:
+			r.stream.mayBeAtEnd = r.stream.started
 			return noRest("endpoint did not resume the stream, its response has no event of the rest")
 		case err == io.EOF && len(pending) == 0 && r.stream.started:
 			if err := r.responder.Finish(); err != nil {
@@ -150,6 +150,10 @@
 // which the endpoint has fetched by then, and fixes the stream's origin. joined is that of
 // forwardStream.
 func (r *exchangeRun) forwardEvents(ctx context.Context, response *port.EndpointResponse, events []byte, startedAt time.Time, joined *bool) (progressed bool, err error) {
+	unsent, err := r.takeUnsentEvents(events, joined)
+	if err != nil || !*joined {
+		return false, err
+	}
 	if r.record.timeToFirstEvent == 0 {
 		r.record.timeToFirstEvent = r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
 		r.recordTimeToFirstEvent(r.cfg.Clock.Now().Sub(startedAt))
@@ -165,9 +169,8 @@
 	} else if r.record.resumes < r.attempts-1 {
 		r.record.resumes = r.attempts - 1
 	}
-	unsent, err := r.takeUnsentEvents(events, joined)
-	if err != nil || len(unsent) == 0 {
-		return false, err
+	if len(unsent) == 0 {
+		return false, nil
 	}
 	if err := r.responder.Write(unsent); err != nil {
 		return false, callerGoneError(err)
