Don't resume a stream after an event without an id

Cause: a stream's place was taken to be the last id, whatever had been sent after it.

Change: while the caller has an event with fields but without an id after the last one with an id, no other attempt follows: the attempt isn't given up because it stalls, and a stream that breaks off stays broken. Comments are no events; the next id ends it.

Measured: both tests pass, and so do internal/exchange with the race detector and the tests of streams, versions, crashes and stages in platform. Endpoints number all events as far as their pages say, so that nothing about the users' incident is shown by this.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -44,6 +45,9 @@
 	errUnreachable = errors.New("endpoint can't be reached")
 )
 
+// errNotResumable ends a stream of which the caller has an event that it would get again.
+var errNotResumable = verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "stream can't be resumed after an event without an id")
+
 // failover watches one attempt and looks for its successor while the attempt is doubted.
 type failover struct {
 	run      *exchangeRun
@@ -227,7 +231,7 @@
 	if r.cfg.Crashes.Check(r.exchange) != nil {
 		return false
 	}
-	if r.executedAttempts+1 >= r.route.MaxAttempts || !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)) {
+	if r.executedAttempts+1 >= r.route.MaxAttempts || !r.mayGoOn() || !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)) {
 		return false
 	}
 	if !r.takeRetry() || !r.resultsAvailable() && r.remakeResults(ctx) != nil || !doubted() {
@@ -250,6 +254,9 @@
 // attempt; nil before the first one. The error is a *verdict.Error. An exchange that must
 // go on gets one only at the end of ctx, or if its stages fail again and again.
 func (r *exchangeRun) nextEndpoint(ctx context.Context, lastErr error) (*catalog.Endpoint, error) {
+	if !r.mayGoOn() { // the event came after the successor was picked
+		return nil, errNotResumable
+	}
 	for {
 		if err := r.cfg.Crashes.Check(r.exchange); err != nil {
 			return nil, err
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -97,7 +97,7 @@
 		if !r.mustGoOn && r.attempts-r.executedAttempts > maxRefusals {
 			return false
 		}
-	} else if !r.route.Repeatable() || r.executedAttempts >= r.route.MaxAttempts {
+	} else if !r.route.Repeatable() || !r.mayGoOn() || r.executedAttempts >= r.route.MaxAttempts {
 		return false
 	}
 	return r.takeRetry()
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -44,6 +44,9 @@
 	// mayBeAtEnd is set after a response that resumed the stream and had no event: there may
 	// be none left, which the next attempt finds out.
 	mayBeAtEnd bool
+	// unnumbered is set while the caller has an event without an id after the last one with
+	// one: an endpoint that resumes the stream would send it again.
+	unnumbered bool
 }
 
 // setStreamStarted and streamStarted access r.stream.started. Only the attempt's own
@@ -60,6 +63,20 @@
 	return r.stream.started
 }
 
+// setUnnumbered and mayGoOn access r.stream.unnumbered. mayGoOn reports whether another
+// attempt can go on with the stream.
+func (r *exchangeRun) setUnnumbered(unnumbered bool) {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	r.stream.unnumbered = unnumbered
+}
+
+func (r *exchangeRun) mayGoOn() bool {
+	r.attemptMu.Lock()
+	defer r.attemptMu.Unlock()
+	return !r.stream.unnumbered
+}
+
 // resumeFrom returns the id of the event after which the next attempt resumes,
 // empty if the stream starts from its beginning. At a stream's possible end it resumes one
 // event earlier: if the newest event is the last one, the rest is that event and its end.
@@ -212,6 +229,9 @@
 		case !*joined:
 			continue
 		}
+		if hasFields(event) {
+			r.setUnnumbered(id == "")
+		}
 		unsent = append(unsent, event...)
 	}
 	return unsent, nil
