Forward events whose lines end with CRLF

Callers got 502 for a stream whose lines end with CRLF, as the format of event streams allows: the endpoint had run the request and sent all events.

Cause: an event ended at two LF in a row only, so that no event was ever complete and the end of the response was taken for a cut.

Change: an event ends at an empty line, whether its lines end with LF or CRLF; a response may have both. Lines that end with a single CR are still not understood.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -79,3 +79,25 @@
 	is.True(hasFields([]byte("\n\ndata: a\n\n")))
 	is.True(hasFields([]byte("weights: 7\nid: 3\n\n")))
 }
+
+// TestEventsEndWithAnEmptyLine guards against events that are cut, joined or left out because
+// of how their lines end.
+func TestEventsEndWithAnEmptyLine(t *testing.T) {
+	for _, tc := range []struct {
+		body   string
+		events string // without the part after the last complete event
+		last   string
+	}{
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2"},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\r\n", "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", "2"},
+		{"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 2\r\ndata: b\r\n\r\n", "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n", "2"},
+		{"id: 1\r\ndata: a\r\n\r", "", ""},
+		{"id: 1\ndata: a\n\r\n\n", "id: 1\ndata: a\n\r\n\n", "1"},
+		{"data: a\r\n", "", ""},
+	} {
+		is := is.New(t)
+		r := &exchangeRun{exchange: &port.Exchange{}}
+		is.Equal(string(r.takeUnsentEvents([]byte(tc.body)[:lastEventEnd([]byte(tc.body))])), tc.events)
+		is.Equal(r.stream.lastEventID, tc.last)
+	}
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -117,9 +117,8 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		lastEnd := bytes.LastIndex(pending, eventEnd)
-		if lastEnd >= 0 {
-			events := pending[:lastEnd+len(eventEnd)]
+		if end := lastEventEnd(pending); end > 0 {
+			events := pending[:end]
 			forwardingSince.Store(max(1, int64(r.cfg.Clock.Now().Sub(startedAt))))
 			progressed, err := r.forwardEvents(ctx, response, events, startedAt, &joined)
 			if err != nil {
@@ -152,8 +151,31 @@
 	}
 }
 
-// eventEnd is the delimiter between events.
-var eventEnd = []byte("\n\n")
+// eventEnds are the ends of an event: an empty line after another one, whose lines end with
+// LF or CRLF.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// firstEventEnd returns the end of the first complete event, 0 if there is none.
+func firstEventEnd(b []byte) int {
+	first := 0
+	for _, end := range eventEnds {
+		if i := bytes.Index(b, end); i >= 0 && (first == 0 || i+len(end) < first) {
+			first = i + len(end)
+		}
+	}
+	return first
+}
+
+// lastEventEnd returns the end of the last complete event, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	last := 0
+	for _, end := range eventEnds {
+		if i := bytes.LastIndex(b, end); i >= 0 {
+			last = max(last, i+len(end))
+		}
+	}
+	return last
+}
 
 // stallTimeout returns the time without progress after which the attempt at a stream is
 // doubted.
@@ -213,7 +235,10 @@
 func (r *exchangeRun) takeUnsentEvents(events []byte, joined *bool) ([]byte, error) {
 	var unsent []byte
 	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd) + len(eventEnd)
+		end := firstEventEnd(events)
+		if end == 0 {
+			end = len(events) // an empty line after the last event
+		}
 		event := events[:end]
 		events = events[end:]
 		id := eventID(event)
