Take the last id of an event for its place

An event with two id fields has the second one as its id, as the format of event streams says and callers understand it.

Evidence: on the code before: --- FAIL: TestLastIDOfAnEventCounts, 3 != 4

Change: the last id field counts.

Measured: the test passes, and so does internal/exchange.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -101,3 +101,12 @@
 		is.Equal(r.stream.lastEventID, tc.last)
 	}
 }
+
+// TestLastIDOfAnEventCounts guards against an event that the caller gets twice, as the stream
+// is resumed after the first one of its ids.
+func TestLastIDOfAnEventCounts(t *testing.T) {
+	is := is.New(t)
+	is.Equal(eventID([]byte("id: 3\ndata: a\nid: 4\ndata: id: 9\n\n")), "4")
+	is.Equal(eventID([]byte("id:3\r\ndata: a\r\n\r\n")), "3")
+	is.Equal(eventID([]byte("Id: 3\nids: 4\ndata: a\n\n")), "")
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -270,12 +270,14 @@
 	return errA != nil || errB != nil || a > b
 }
 
-// eventID returns the id field of an event, empty if it has none.
+// eventID returns the id field of an event, the last one if it has several and empty if it has
+// none.
 func eventID(event []byte) string {
+	id := ""
 	for _, line := range strings.Split(string(event), "\n") {
 		if value, ok := strings.CutPrefix(line, "id:"); ok {
-			return strings.TrimSpace(value)
+			id = strings.TrimSpace(value)
 		}
 	}
-	return ""
+	return id
 }
