--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -97,7 +97,10 @@
 	} {
 		is := is.New(t)
 		r := &exchangeRun{exchange: &port.Exchange{}}
-		is.Equal(string(r.takeUnsentEvents([]byte(tc.body)[:lastEventEnd([]byte(tc.body))])), tc.events)
+		joined := true
+		unsent, err := r.takeUnsentEvents([]byte(tc.body)[:lastEventEnd([]byte(tc.body))], &joined)
+		is.NoErr(err)
+		is.Equal(string(unsent), tc.events)
 		is.Equal(r.stream.lastEventID, tc.last)
 	}
 }
