Don't take the response to an attempt for an endpoint's report

An attempt was charged what another one had used: reports of usage, load, state and cache events share their connections with attempts and believed whatever came first, also a late copy of an attempt's response, though it names its attempt.

TestCopyOfAnAttemptsResponseIsNoReport before the change:

othercalls_test.go:56: not true: ended

Reports are requested without an attempt id, so a response with one is discarded and the report's own is awaited.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -98,7 +98,7 @@
 		return port.AttemptResult{}, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "request cannot be sent to the endpoint")
 	}
 	result := port.AttemptResult{}
-	err = c.doRequest(ctx, addr, req, a.IdempotencyKey != "", func(resp *fasthttp.Response) error {
+	err = c.doRequest(ctx, addr, req, a.IdempotencyKey != "", nil, func(resp *fasthttp.Response) error {
 		return c.readAttemptResponse(resp, a, &result)
 	})
 	return result, err
@@ -106,11 +106,12 @@
 
 // doRequest sends req and passes the response, its body unread, to read. It
 // returns every failure as a *verdict.Error. forceNew opens a new connection
-// instead of reusing an idle one.
-func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, read func(*fasthttp.Response) error) error {
+// instead of reusing an idle one. matches is httpcall.Call.Matches.
+func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, matches func(*fasthttp.Response) bool, read func(*fasthttp.Response) error) error {
 	var arrival port.Arrival
 	sent, err := c.pool.Exchange(ctx, addr, forceNew, httpcall.Call{
 		Write:   func(w *bufio.Writer) error { return req.Write(w) },
+		Matches: matches,
 		Arrival: &arrival,
 		Read:    func(resp *fasthttp.Response) error { return describeArrival(read(resp), arrival) },
 	})
--- a/internal/adapter/engine/orders.go
+++ b/internal/adapter/engine/orders.go
@@ -42,7 +42,7 @@
 	req.Header.SetContentType("application/json")
 	req.Header.Set(port.HeaderFence, strconv.FormatUint(fencingToken, 10))
 	req.SetBodyRaw(body)
-	return c.doRequest(ctx, addr, req, true, func(resp *fasthttp.Response) error {
+	return c.doRequest(ctx, addr, req, true, nil, func(resp *fasthttp.Response) error {
 		if resp.StatusCode() != fasthttp.StatusAccepted {
 			return statusError(resp)
 		}
