--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -107,7 +107,7 @@
 // doRequest sends req and passes the response, its body unread, to read. It
 // returns every failure as a *verdict.Error. forceNew opens a new connection
 // instead of reusing an idle one. matches is httpcall.Call.Matches.
-func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, matches func(*fasthttp.Response) bool, read func(*fasthttp.Response) error) error {
+func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, matches func(*fasthttp.Response, bool) httpcall.Match, read func(*fasthttp.Response) error) error {
 	var arrival port.Arrival
 	sent, err := c.pool.Exchange(ctx, addr, forceNew, httpcall.Call{
 		Write:   func(w *bufio.Writer) error { return req.Write(w) },
--- a/internal/adapter/engine/usage.go
+++ b/internal/adapter/engine/usage.go
@@ -41,16 +41,11 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	setMethodAndURI(req, fasthttp.MethodGet, addr, path)
-	return c.doRequest(ctx, addr, req, false, namesNoAttempt, func(resp *fasthttp.Response) error {
+	return c.doRequest(ctx, addr, req, false, httpcall.MatchUnnamed(port.HeaderAttempt), func(resp *fasthttp.Response) error {
 		return c.readJSON(resp, out)
 	})
 }
 
-// namesNoAttempt reports whether a response can belong to a call that is no attempt.
-func namesNoAttempt(resp *fasthttp.Response) bool {
-	return len(resp.Header.Peek(port.HeaderAttempt)) == 0
-}
-
 // readJSON decodes a response with status 200 into out. It returns the error of
 // statusError for any other status.
 func (c *Client) readJSON(resp *fasthttp.Response, out any) error {
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -173,6 +173,17 @@
 	MatchUnknown
 )
 
+// MatchUnnamed returns a Call.Matches for a call whose response has no header field of this
+// name: one that has it belongs to a call that the field names.
+func MatchUnnamed(field string) func(*fasthttp.Response, bool) Match {
+	return func(resp *fasthttp.Response, _ bool) Match {
+		if len(resp.Header.Peek(field)) > 0 {
+			return MatchOther
+		}
+		return MatchOwn
+	}
+}
+
 // Exchange is like Do for a request that call.Write writes. It returns
 // ErrUnexpectedResponse if no response matched, and ErrAmbiguousResponse.
 func (p *Pool) Exchange(ctx context.Context, addr string, forceNew bool, call Call) (int, error) {
