--- a/internal/exchange/rest_test.go
+++ b/internal/exchange/rest_test.go
@@ -42,11 +42,16 @@
 	broken   bool
 	unsigned bool
 	notRun   bool
+	// unreached means that there is no response: the endpoint is not reached.
+	unreached bool
 }
 
 const eventStream = "text/event-stream"
 
 func (s scriptedResponse) send(read func(*port.EndpointResponse) error) error {
+	if s.unreached {
+		return verdict.Wrap(&port.NotReachedError{Err: errors.New("connection refused")}, verdict.CodeEndpointFailed, verdict.NotRun, "endpoint failed")
+	}
 	body := io.Reader(strings.NewReader(s.body))
 	if s.broken {
 		body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
@@ -256,6 +261,16 @@
 	}
 }
 
+// TestStreamGoesOnIfItsEndCannotBeConfirmed guards against a stream that is cut because the
+// endpoint that sent no event can't be asked again, although the route allows another one.
+func TestStreamGoesOnIfItsEndCannotBeConfirmed(t *testing.T) {
+	is := is.New(t)
+	c, requests := forwardScripted(t, 3, inTurn(begun, scriptedResponse{status: 200, kind: eventStream}, scriptedResponse{unreached: true}, scriptedResponse{status: 200, kind: eventStream, body: eventsLeft}))
+	is.True(c.finished)
+	is.Equal(c.body.String(), eventsBegun+eventsLeft)
+	is.Equal(endpointsOf(requests), 3)
+}
+
 // TestEventsThatWereLeftAreSent guards against the events that an endpoint first withheld
 // being lost or sent twice when it is asked again.
 func TestEventsThatWereLeftAreSent(t *testing.T) {
