--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -150,14 +150,15 @@
 func (r *exchangeRun) attempt(parent context.Context, e *catalog.Endpoint) error {
 	r.attempts++
 	r.attempted[e.ID] = true
-	r.respondingSince = time.Time{}
+	r.respondingSince, r.record.answer = time.Time{}, nil
 	ctx, failover := r.watch(parent, e)
 	r.record.endpoint, r.record.zone, r.record.softwareVersion = e.ID, e.Zone, e.SoftwareVersion
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
 	var load *port.EndpointLoad
-	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), Customer: r.customer, Remaining: r.remainingTime(),
+	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), SentBefore: r.sentTo[e.ID], Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.currentResults().handles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
+	r.sentTo[e.ID] = true
 	startedAt := r.cfg.Clock.Now()
 	silence := time.AfterFunc(max(minVerifyDelay, r.route.TargetLatency), func() { r.cfg.Health.Verify(e) })
 	defer silence.Stop()
@@ -229,11 +230,11 @@
 // a repeatable request in r.fallback instead and returns an error. startedAt is
 // when the attempt started.
 func (r *exchangeRun) handleResponse(ctx context.Context, response *port.EndpointResponse, failover *failover, startedAt time.Time) error {
-	r.respondingSince = r.cfg.Clock.Now()
+	r.respondingSince, r.record.answer = r.cfg.Clock.Now(), answerAttrs(response)
 	switch {
 	case response.NotRun:
 		return refusalError(response)
-	case response.ContentEncoded, isSuccess(response.Status) && (!response.Signed || !response.HasAttemptID):
+	case response.ContentEncoded, !response.HasAttemptID, isSuccess(response.Status) && !response.Signed:
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
 	case r.route.Kind == catalog.Stream && isSuccess(response.Status):
 		return r.forwardStream(ctx, response, failover, startedAt)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -83,6 +83,9 @@
 	Endpoint *catalog.Endpoint
 	// MayRepeat says that the exchange may run more than once.
 	MayRepeat bool
+	// SentBefore says that the endpoint has been sent the exchange before: it is sent on a new
+	// connection, since a late copy of the former response has the same attempt id.
+	SentBefore bool
 	// Customer is sent to the endpoint; empty for none.
 	Customer string
 	// Remaining is the time left until the exchange's deadline.
@@ -105,7 +108,8 @@
 	Body io.Reader
 	// Length is the size of the body in bytes, or -1 if unknown.
 	Length int64
-	// NotRun means that the endpoint did not run and will not run the request.
+	// NotRun means that the endpoint did not run and will not run the request. It is set only
+	// for a response that can't belong to another request.
 	NotRun bool
 	// Misdirected means that another endpoint now has the address.
 	Misdirected bool
@@ -116,6 +120,10 @@
 	ContentEncoded bool
 	// HasAttemptID means that the response carries an attempt id.
 	HasAttemptID bool
+	// Arrival is nil if the host that carried the call does not tell.
+	Arrival *Arrival
+	// Carrier is the host that carried the call; empty for none.
+	Carrier string
 	// Load is the load reported in the response; nil if there was none.
 	Load *EndpointLoad
 }
@@ -221,6 +229,9 @@
 	// it, unless that is nothing. Calls may be concurrent. It must be called before the
 	// client is used.
 	ObserveNotices(observe func(e *catalog.Endpoint, n EndpointNotice))
+	// ObserveAnswers has observe called with each response that this host reads from an
+	// endpoint, also for calls that it carries. It is called at most once, before all others.
+	ObserveAnswers(observe func(e *catalog.Endpoint, a EndpointAnswer))
 }
 
 // EndpointReport is the state that an endpoint reports.
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -57,17 +57,18 @@
 	Inputs     []string           `cbor:"12,keyasint"` // nil and empty differ
 	ResumeFrom string             `cbor:"13,keyasint"`
 	MayRepeat  bool               `cbor:"14,keyasint,omitempty"`
+	SentBefore bool               `cbor:"15,keyasint,omitempty"`
 }
 
 func encodeForward(id string, r *port.EndpointRequest) *forwardRequest {
 	x := r.Exchange
 	return &forwardRequest{ID: id, Endpoint: refTo(r.Endpoint), AttemptID: x.ID, Method: x.Method, Target: x.Target, Host: x.Host, Header: x.Header, Body: x.Body,
-		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom, MayRepeat: r.MayRepeat}
+		Customer: r.Customer, Remaining: r.Remaining, Priority: r.Priority, Inputs: r.Inputs, ResumeFrom: r.ResumeFrom, MayRepeat: r.MayRepeat, SentBefore: r.SentBefore}
 }
 
 func (f *forwardRequest) decode(e *catalog.Endpoint) *port.EndpointRequest {
 	x := &port.Exchange{ID: f.AttemptID, Method: f.Method, Target: f.Target, Host: f.Host, Header: f.Header, Body: f.Body}
-	return &port.EndpointRequest{Exchange: x, Endpoint: e, MayRepeat: f.MayRepeat, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
+	return &port.EndpointRequest{Exchange: x, Endpoint: e, MayRepeat: f.MayRepeat, SentBefore: f.SentBefore, Customer: f.Customer, Remaining: f.Remaining, Priority: f.Priority, Inputs: f.Inputs, ResumeFrom: f.ResumeFrom}
 }
 
 // probeRequest asks a host whether it reaches an endpoint, and for a new report of the
@@ -110,16 +111,21 @@
 	Load           *port.EndpointLoad `cbor:"9,keyasint,omitempty"`
 	// Notice is what the carrier knows the endpoint to say of itself.
 	Notice port.EndpointNotice `cbor:"10,keyasint"`
+	// Arrival is how the response reached the carrier; nil from hosts of earlier versions.
+	Arrival *port.Arrival `cbor:"11,keyasint,omitempty"`
 }
 
 func encodeHead(r *port.EndpointResponse, notice port.EndpointNotice) *responseHead {
 	return &responseHead{Status: r.Status, Header: r.Header, Length: r.Length, NotRun: r.NotRun, Misdirected: r.Misdirected, Signed: r.Signed,
-		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice}
+		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice, Arrival: r.Arrival}
 }
 
-func (h *responseHead) decode(body io.Reader) *port.EndpointResponse {
-	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: h.NotRun, Misdirected: h.Misdirected, Signed: h.Signed,
-		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Body: body}
+// decode returns the response as this host would have got it from the endpoint. Carriers of
+// earlier versions also pass on refusals that name no attempt and may belong to another one.
+func (h *responseHead) decode(carrier string, body io.Reader) *port.EndpointResponse {
+	notRun := h.NotRun && (h.HasAttemptID || h.Arrival != nil)
+	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: notRun, Misdirected: h.Misdirected, Signed: h.Signed,
+		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
 }
 
 // stageRequest asks a carrier to make a stage call, or to free results.
@@ -160,11 +166,12 @@
 	return &failure{Code: code, NotRun: true, Message: reason, NotCarried: true}
 }
 
-// decode returns the error as this host would have got it from the endpoint.
-func (f *failure) decode() error {
-	cause := errors.New(f.Message)
+// decode returns the error of the carrier as this host would have got it from the endpoint.
+func (f *failure) decode(carrier string) error {
+	message := "host " + carrier + ": " + f.Message
+	cause := errors.New(message)
 	if f.ConnectionLost {
-		cause = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, f.Message)}
+		cause = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, message)}
 	}
 	v := verdict.MayHaveRun
 	if f.NotRun {
