Don't pass on a status that promises what the endpoint has not said

What callers would see (REFUSED): a request that may run once is answered 408, 429 or 503 by an endpoint that ran it and did not say that it hadn't. The status was forwarded unchanged, and tells callers that the request has not run and never will.

Found by looking for other places where an answer is taken for a refusal that it isn't. The users' endpoints were not seen to do so.

Evidence: TestStatusThatPromisesNeedsTheEndpointsWord failed before: 503 != 502

Change: such an answer to a request that may not be repeated is a failure, 502, and the request may have run.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -220,7 +220,7 @@
 		return balance.Cancelled
 	case errors.Is(err, errNoRest) && r.stream.mayBeAtEnd:
 		return balance.Cancelled
-	case r.fallback != nil, errors.Is(err, errNoRest), e.Code == verdict.CodeDeadlineExceeded:
+	case r.fallback != nil, errors.Is(err, errNoRest), errors.Is(err, errUnprovenRefusal), e.Code == verdict.CodeDeadlineExceeded:
 		return balance.Failed
 	default:
 		return balance.ConnectionFailed
@@ -238,6 +238,8 @@
 		return refusalError(response)
 	case response.ContentEncoded, !response.HasAttemptID, isSuccess(response.Status) && !response.Signed:
 		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "answer is not the endpoint's own")
+	case !r.route.Repeatable() && saysNotRun(response.Status):
+		return verdict.Wrap(errUnprovenRefusal, verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint failed")
 	case r.stream.started:
 		if err := r.checkRest(response); err != nil {
 			return err
@@ -279,11 +281,30 @@
 // that the exchange was sent to.
 var errAddressReused = errors.New("another endpoint has the address")
 
+// errUnprovenRefusal means that an endpoint answered with a status that tells callers that the
+// request has not run, but did not say so itself.
+var errUnprovenRefusal = errors.New("response has the status of a refusal and is none")
+
+// saysNotRun reports whether callers take a status as the promise that the request has not run
+// and never will.
+func saysNotRun(status int) bool {
+	switch status {
+	case statusRequestTimeout, statusMisdirected, statusTooManyRequests, statusUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // HTTP statuses of endpoint responses that are handled specially.
 const (
-	statusOK          = 200
-	statusConflict    = 409
-	statusServerError = 500
+	statusOK              = 200
+	statusRequestTimeout  = 408
+	statusConflict        = 409
+	statusMisdirected     = 421
+	statusTooManyRequests = 429
+	statusServerError     = 500
+	statusUnavailable     = 503
 )
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
