Have few hosts read the streams' records from the store

Cause: a host's first read covered all keys, with the records of streams of all hosts. All hosts together asked the store for more than its link carries within a call's time bound of a second. Reads that ended at the bound began anew, so that the link stayed full.

Change: records have a key prefix of their own, and complete reads consist of the other prefixes. The hosts that watch the store read the records once for each uninterrupted watch while a route has several versions; the others ask them, also while they read. Reads for searches are spaced out by the number of hosts.

The stand-ins for other hosts in tests name no followed host.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -80,7 +80,11 @@
 	Decoder port.StoreDecoder
 	// KeyPrefix is the prefix of pimentorill's own keys in the store.
 	KeyPrefix string
-	Endpoints port.EndpointClient
+	// RecordPrefix is the prefix of pimentorill's own keys that not all hosts have to know.
+	RecordPrefix string
+	// StatePrefixes are the prefixes of all keys that all hosts have to know.
+	StatePrefixes []string
+	Endpoints     port.EndpointClient
 	// Listen starts the server for callers, which passes their exchanges to s.
 	Listen func(s *exchange.Server) (CallerServer, error)
 	// ServeReadiness starts to answer readiness checks with the result of ready; the
@@ -158,9 +162,10 @@
 	sharing := &stateSharing{group: group}
 	n.replica = facts.New(facts.Config{Store: p.Store, Decoder: p.Decoder, Observer: n, Clock: clock, Log: log,
 		CrashEntryName: crashing.EntryName, VersionEntryName: origins.VersionEntryName,
-		IsRecord: origins.IsSegmentKey, OnRecords: func(items []port.KeyValue) { n.origins.LearnSegments(items) }, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
+		StatePrefixes: p.StatePrefixes, IsRecord: origins.IsSegmentKey, OnRecords: func(items []port.KeyValue) { n.origins.LearnSegments(items) }, FetchFromPeer: sharing.fetchFromPeer, Peers: sharing})
 	sharing.handleRequests(n.replica)
-	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, MinLease: s.MinLease, StoreAvailable: n.replica.StoreAvailable,
+	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, RecordPrefix: p.RecordPrefix, MinLease: s.MinLease,
+		StoreAvailable: n.replica.StoreAvailable, Watch: n.replica.Watch,
 		Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: n.relay, Health: n.health, RateLimits: n.rateLimits, Advisories: n.advisories, LookupService: n.stageService,
--- a/internal/exchange/pathloss_soak_test.go
+++ b/internal/exchange/pathloss_soak_test.go
@@ -142,7 +142,7 @@
 		return err == nil || h.relay.ProbeOverPeers(ctx, e) == nil
 	}})
 	h.server = New(Config{Snapshot: f.current, Balancer: balancer, RetryBudgets: budgets, RateLimits: limits, Endpoints: h.relay, Health: h.monitor,
-		Origins: origins.New(origins.Config{Peers: none{}, StoreAvailable: func() bool { return false }, Snapshot: f.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log}),
+		Origins: origins.New(origins.Config{Peers: none{}, StoreAvailable: func() bool { return false }, Watch: func() int64 { return 0 }, Snapshot: f.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log}),
 		Stages:  stagework.NewDispatcher(stagework.Config{Peers: none{}, Endpoints: h.relay, Health: h.monitor, RateLimits: limits, Advisories: advisories, Clock: clock, Log: log}),
 		Crashes: h.crashes, Clock: clock, Rand: rand.New(rand.NewPCG(seed, 3)), Log: log})
 	f.mu.Lock()
--- a/internal/exchange/soak_test.go
+++ b/internal/exchange/soak_test.go
@@ -85,6 +85,7 @@
 func (none) Candidates() []string                             { return []string{"edge-0"} }
 func (none) Coordinators(string, []string) []string           { return []string{"edge-0"} }
 func (none) Others() []string                                 { return nil }
+func (none) Followed() []string                               { return nil }
 func (none) Self() string                                     { return "edge-0" }
 func (none) ReachableShare([]string) float64                  { return 1 }
 func (none) ShuttingDown() bool                               { return false }
@@ -107,7 +108,7 @@
 	advisories := advisory.New("edge-0", 1, clock, log)
 	budget := quota.RetryLimit{Ratio: []float64{0, 0.02, 0.2}[s.rng.IntN(3)], Slack: float64(s.rng.IntN(4)), Window: 10 * time.Second}
 	s.monitor = health.New(health.Config{Client: s, UsableEndpoints: s.usable, OnChange: func() {}, Clock: clock, Log: log})
-	s.origins = origins.New(origins.Config{Peers: none{}, StoreAvailable: func() bool { return false }, Snapshot: s.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log})
+	s.origins = origins.New(origins.Config{Peers: none{}, StoreAvailable: func() bool { return false }, Watch: func() int64 { return 0 }, Snapshot: s.current, StartedFirst: func(*facts.Snapshot) bool { return true }, Clock: clock, Log: log})
 	s.metrics = tally.NewTestScope("", nil)
 	s.crashes = crashing.New(crashing.Config{Peers: none{}, Snapshot: s.current, Clock: clock, Log: log, Metrics: s.metrics})
 	s.server = New(Config{Snapshot: s.current, Balancer: balance.New("edge-0", "kranj", clock, rand.New(rand.NewPCG(seed, 2)), balance.ColdSendLimit{}, limits, advisories),
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -154,11 +156,14 @@
 	CrashEntryName func(key string) (name string, ok bool)
 	// VersionEntryName is the same for entries of software versions.
 	VersionEntryName func(key string) (name string, ok bool)
-	// IsRecord reports whether the items of a key are not part of the state: those that are
-	// read or change in the store are passed to OnRecords, on the goroutine that owns the
+	// IsRecord reports whether the items of a key are not part of the state: those that
+	// change in the store while this host watches it, or are read, are passed to OnRecords, on the goroutine that owns the
 	// state, and not to other hosts. Both may be nil.
 	IsRecord  func(key string) bool
 	OnRecords func(items []port.KeyValue)
+	// StatePrefixes are the prefixes of the keys of which a complete read consists, without
+	// those of records; nil stands for all keys.
+	StatePrefixes []string
 	// FetchFromPeer may be nil; then no state is fetched from other hosts.
 	FetchFromPeer PeerFetcher
 	// Peers may be nil; then this host watches the store itself at all times.
@@ -175,8 +180,10 @@
 	storeStatus *storeStatus
 	state       *state
 	changelog   *changelog
-	// watchesStore is set while this host watches the store itself.
+	// watchesStore is set while this host watches the store itself, and watch is the number
+	// of its uninterrupted watch.
 	watchesStore atomic.Bool
+	watch        atomic.Int64
 }
 
 // update holds all items of the store, or those that changed since the last
@@ -214,6 +221,16 @@
 // the first one.
 func (r *Replica) StoreAvailable() bool { return !r.storeStatus.unavailable() }
 
+// Watch returns the number of this host's uninterrupted watch of the store, which has passed
+// all records on that were written since it began: another one after each gap, and 0 while
+// this host does not watch the store.
+func (r *Replica) Watch() int64 {
+	if !r.watchesStore.Load() {
+		return 0
+	}
+	return r.watch.Load()
+}
+
 // Run follows the store and returns when ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	go r.followStore(ctx)
@@ -267,9 +284,7 @@
 // continue from, and whether the items are all items of the store.
 func (r *Replica) readOrWatch(ctx context.Context, after port.StorePosition) ([]port.KeyValue, port.StorePosition, bool, error) {
 	if after == (port.StorePosition{}) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		items, next, err := r.cfg.Store.Range(callCtx, allKeys)
+		items, next, err := r.readAll(ctx)
 		return items, next, true, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
@@ -281,6 +296,33 @@
 	return items, next, false, err
 }
 
+// readAll returns the items of the state and the position from which a watch misses no change
+// of them: that of the first call.
+func (r *Replica) readAll(ctx context.Context) ([]port.KeyValue, port.StorePosition, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	prefixes := r.cfg.StatePrefixes
+	if prefixes == nil {
+		prefixes = []string{allKeys}
+	}
+	var all []port.KeyValue
+	var first port.StorePosition
+	for i, prefix := range prefixes {
+		items, position, err := r.cfg.Store.Range(ctx, prefix)
+		if err != nil {
+			return nil, port.StorePosition{}, err
+		}
+		if i == 0 {
+			first = position
+		}
+		if position.Epoch != first.Epoch {
+			return nil, port.StorePosition{}, errors.Wrap(port.ErrUnavailable, "store was restored while its keys were read")
+		}
+		all = append(all, items...)
+	}
+	return all, first, nil
+}
+
 // sendUpdate passes an update to controlLoop and waits until it is applied, or
 // until ctx ends.
 func (r *Replica) sendUpdate(ctx context.Context, u update) {
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -296,3 +296,47 @@
 	is.Equal(len(s.dump(now).Items), 2)
 	is.Equal(s.snapshot().Position.Revision, int64(7))
 }
+
+// TestCompleteReadLeavesRecordsOut guards against hosts that read the records of all streams
+// when they start, or after a gap, so that at hundreds of hosts no read ends in time.
+func TestCompleteReadLeavesRecordsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.put("config/", "7")
+		store.put("end/a", "kranj ready")
+		store.put("record/before", "1")
+		var passed []string
+		cfg := testConfigWith(store)
+		cfg.StatePrefixes = []string{"config/", "end/"}
+		cfg.IsRecord = func(key string) bool { return strings.HasPrefix(key, "record/") }
+		cfg.OnRecords = func(items []port.KeyValue) {
+			for _, item := range items {
+				passed = append(passed, item.Key)
+			}
+		}
+		replica := New(cfg)
+		is.Equal(replica.Watch(), int64(0))
+		ctx, cancel := context.WithCancel(t.Context())
+		go replica.Run(ctx)
+		synctest.Wait()
+		is.Equal(replica.Current().Config.Version, int64(7))
+		is.Equal(countUsable(replica.Current()), 1)
+		is.Equal(len(passed), 0)
+		// What is written during a watch is passed on, and what a gap hides has another watch.
+		first := replica.Watch()
+		is.True(first != 0)
+		store.put("record/during", "1")
+		synctest.Wait()
+		is.Equal(passed, []string{"record/during"})
+		is.Equal(replica.Watch(), first)
+		store.update(func() { store.oldestRevision = store.revision + 1 })
+		store.put("record/gap", "1")
+		advance(3 * time.Second)
+		is.Equal(passed, []string{"record/during"})
+		is.True(replica.Watch() != first)
+		is.Equal(countUsable(replica.Current()), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/facts/fakes_test.go
+++ b/internal/facts/fakes_test.go
@@ -70,7 +70,7 @@
 	f.wakeWatches()
 }
 
-func (f *fakeStore) Range(context.Context, string) ([]port.KeyValue, port.StorePosition, error) {
+func (f *fakeStore) Range(_ context.Context, prefix string) ([]port.KeyValue, port.StorePosition, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ranges++
@@ -79,8 +79,10 @@
 	}
 	var list []port.KeyValue
 	for _, i := range f.items {
-		i.Epoch = f.epoch
-		list = append(list, i)
+		if strings.HasPrefix(i.Key, prefix) {
+			i.Epoch = f.epoch
+			list = append(list, i)
+		}
 	}
 	return list, f.position(), nil
 }
--- a/internal/facts/follow.go
+++ b/internal/facts/follow.go
@@ -107,9 +107,11 @@
 
 // setWatchesStore records whether this host watches the store itself.
 func (f *follower) setWatchesStore(watches bool) {
-	if f.watchesStore.Swap(watches) == watches {
+	if f.watchesStore.Load() == watches {
 		return
 	}
+	f.watch.Add(1)
+	f.watchesStore.Store(watches)
 	f.cfg.Log.Info("way to follow the store changed", slog.Bool("watches_store", watches))
 	f.changelog.wake()
 }
@@ -165,6 +167,9 @@
 	case err == nil:
 		f.retryDelay = minRetryDelay
 		afterOutage := f.storeStatus.recordResponse()
+		if complete {
+			f.watch.Add(1)
+		}
 		f.sendUpdate(ctx, update{items: items, position: next, complete: complete, afterOutage: afterOutage})
 		f.position = next
 	case isCompacted(err):
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -22,12 +22,21 @@
 	// store holds, and positionInterval is the time between two looks.
 	positionTimeout  = 400 * time.Millisecond
 	positionInterval = 10 * time.Millisecond
+	// awaitTimeout bounds how long a search waits for a host that reads all segments, and
+	// askAgainInterval is the time between two attempts to ask one.
+	awaitTimeout     = time.Second
+	askAgainInterval = 100 * time.Millisecond
+	// hostSearchInterval is the least time, for each host, between two reads of all segments
+	// for searches.
+	hostSearchInterval = 5 * time.Millisecond
 )
 
 // getRequest asks a host for the record of an attempt of a route.
 type getRequest struct {
 	Attempt string `cbor:"1,keyasint"`
 	Route   string `cbor:"2,keyasint"`
+	// Await means that a host that is reading all segments responds once it has.
+	Await bool `cbor:"3,keyasint,omitempty"`
 }
 
 // getResponse is what a host knows: a record, if HasRecord is set, or the origin of all
@@ -43,6 +52,8 @@
 	// the store confirmed some minutes ago at most.
 	HasSingle bool          `cbor:"6,keyasint,omitempty"`
 	Single    origin.Origin `cbor:"7,keyasint,omitempty"`
+	// HoldsAll means that the host holds all records that are in the store.
+	HoldsAll bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Find returns the origin of the stream that an attempt began; attempt is empty if the
@@ -53,11 +64,19 @@
 // So the origin is the single version only if the store, read after the call, knows of no
 // other one, or, without the store, if all hosts that would hold the record say so.
 func (r *Registry) Find(ctx context.Context, route, attempt string) (origin.Origin, bool) {
-	own := r.lookUp(getRequest{attempt, route})
+	request := getRequest{Attempt: attempt, Route: route}
+	own := r.lookUp(request)
 	if own.HasRecord {
 		return known(own.Record.Origin)
 	}
 	others := membership.SelectByRendezvous(r.cfg.Peers.Others(), attempt, askedHosts)
+	if !own.HasSole {
+		for _, host := range r.cfg.Peers.Followed() {
+			if !slices.Contains(others, host) {
+				others = append(others, host)
+			}
+		}
+	}
 	if attempt == "" {
 		others = nil
 	}
@@ -65,12 +84,12 @@
 	defer stopReading()
 	asked := make(chan struct{})
 	read := r.startReading(readCtx, asked)
-	answers := r.askAll(ctx, others, getRequest{attempt, route})
+	answers := r.askAll(ctx, others, request, getTimeout)
 	if answers.record != nil {
 		return known(answers.record.Origin)
 	}
 	if own.Several || answers.several {
-		return r.findInSegments(ctx, attempt)
+		return r.findInSegments(ctx, request, answers.holdsAll)
 	}
 	close(asked)
 	stored, err := read()
@@ -90,17 +109,6 @@
 	return o, true
 }
 
-// findInSegments returns the origin that the record of an attempt in the store names.
-func (r *Registry) findInSegments(ctx context.Context, attempt string) (origin.Origin, bool) {
-	if attempt == "" || r.readSegments(ctx) != nil {
-		return origin.Origin{}, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	record, ok := r.records.Get(attempt, r.cfg.Clock.Now())
-	return record.Origin, ok && record.Origin.Known()
-}
-
 // startReading reads the entries of the versions once asked is closed, or after readDelay if
 // hosts are slow to answer. The function returned waits for the result.
 func (r *Registry) startReading(ctx context.Context, asked <-chan struct{}) func() (storedVersionsAt, error) {
@@ -201,20 +209,21 @@
 	// several means that a host knows of several versions: this one may not have learned
 	// of the newest yet.
 	several bool
+	// holdsAll means that a host holds all records that are in the store.
+	holdsAll bool
 	// responded holds the hosts that did.
 	responded map[string]bool
 }
 
-// askAll asks hosts at the same time and waits for all responses, for getTimeout at
-// most.
-func (r *Registry) askAll(ctx context.Context, hosts []string, request getRequest) answers {
+// askAll asks hosts at the same time and waits for all responses, or until timeout.
+func (r *Registry) askAll(ctx context.Context, hosts []string, request getRequest, timeout time.Duration) answers {
 	out := answers{responded: make(map[string]bool)}
 	payload, err := cbor.Marshal(request)
 	if err != nil {
 		r.cfg.Log.Error("request for a stream's origin can't be encoded", slog.Any("error", err))
 		return out
 	}
-	ctx, cancel := context.WithTimeout(ctx, getTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	type answer struct {
 		host     string
@@ -232,6 +241,7 @@
 		}
 		out.responded[a.host] = true
 		out.several = out.several || response.Several
+		out.holdsAll = out.holdsAll || response.HoldsAll
 		if response.HasSole {
 			out.soles = append(out.soles, response.Sole)
 		}
@@ -264,6 +274,7 @@
 	var response getResponse
 	response.Sole, response.HasSole = r.freshSole(request.Route)
 	response.Single, response.HasSingle = r.sole(request.Route, maxSoleAge)
+	response.HoldsAll = r.holdsAll()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response.Record, response.HasRecord = r.records.Get(request.Attempt, r.cfg.Clock.Now())
@@ -271,10 +282,13 @@
 	return response
 }
 
-func (r *Registry) handleGet(_ context.Context, _ port.Member, payload []byte) ([]byte, error) {
+func (r *Registry) handleGet(ctx context.Context, _ port.Member, payload []byte) ([]byte, error) {
 	var request getRequest
 	if err := cbor.Unmarshal(payload, &request); err != nil {
 		return nil, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "request for a stream's origin can't be read")
 	}
+	if request.Await {
+		r.awaitAll(ctx)
+	}
 	return cbor.Marshal(r.lookUp(request))
 }
--- a/internal/origins/fleet_test.go
+++ b/internal/origins/fleet_test.go
@@ -12,12 +12,20 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/origin"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/facts"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
+const (
+	// ownKeyPrefix is the prefix of the keys that all hosts read when they start.
+	ownKeyPrefix = "own/"
+	// storedOverhead is the size of an item of the store without its key and value.
+	storedOverhead = 70
+)
+
 // fleet is hosts whose registries ask each other in memory. It is used in a synctest
 // bubble, whose clock is virtual.
 type fleet struct {
@@ -37,6 +45,13 @@
 	epoch      int64
 	leases     map[int64]time.Time
 	storeCalls int
+	// watchers holds the hosts that watch the store, all if it is empty.
+	watchers []string
+	// link is the bytes a second that the store sends, 0 for no bound; linkFreeAt is when
+	// it has sent what it is asked for, and linkBytes counts that.
+	link       int
+	linkFreeAt time.Time
+	linkBytes  int
 }
 
 // fakeEntry is an entry of the store. It expires with its lease, if that isn't 0.
@@ -123,6 +138,12 @@
 
 // start starts a host, which reads the store.
 func (h *fakeHost) start(first bool) {
+	h.startEmpty(first)
+	h.followStore()
+}
+
+// startEmpty starts a host that knows nothing yet.
+func (h *fakeHost) startEmpty(first bool) {
 	h.mu.Lock()
 	if h.stop != nil {
 		h.stop()
@@ -131,13 +152,12 @@
 	h.snapshot, h.learned = &facts.Snapshot{}, 0
 	h.down = false
 	h.mu.Unlock()
-	registry := New(Config{Peers: h, HostID: h.id, Store: h, StoreAvailable: func() bool { return true }, Snapshot: h.currentSnapshot, StartedFirst: func(*facts.Snapshot) bool { return first },
+	registry := New(Config{Peers: h, HostID: h.id, Store: h, KeyPrefix: ownKeyPrefix, RecordPrefix: "records/", Watch: h.watch, StoreAvailable: func() bool { return true }, Snapshot: h.currentSnapshot, StartedFirst: func(*facts.Snapshot) bool { return first },
 		Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.mu.Lock()
 	h.registry, h.stop = registry, cancel
 	h.mu.Unlock()
-	h.followStore()
 	h.tasks.Go(func() { registry.Run(ctx) })
 }
 
@@ -159,7 +179,7 @@
 		VersionEntries: make(map[string]string), Position: port.StorePosition{Epoch: h.epoch, Revision: h.revision}}
 	var records []port.KeyValue
 	for key, e := range h.entries {
-		if IsSegmentKey(key) && e.revision > h.learned && h.holds(e) {
+		if IsSegmentKey(key) && e.revision > h.learned && h.holds(e) && (strings.HasPrefix(key, ownKeyPrefix) || h.learned > 0 && h.watches()) {
 			records = append(records, port.KeyValue{Key: key, Value: e.value, Revision: e.revision, Epoch: h.epoch})
 		}
 		if name, ok := VersionEntryName(key); ok && h.holds(e) {
@@ -188,7 +208,33 @@
 	return h.snapshot
 }
 
-// Others, Ask and Handle implement Peers.
+// watches reports whether the host watches the store, and watch the number of its watch.
+func (h *fakeHost) watches() bool {
+	return len(h.watchers) == 0 || slices.Contains(h.watchers, h.id)
+}
+
+func (h *fakeHost) watch() int64 {
+	if !h.watches() || h.currentSnapshot().Config == nil {
+		return 0
+	}
+	return 1
+}
+
+// join has a host read all that it has to know, as often as it fails, and then follow the store.
+func (h *fakeHost) join() {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, _, err := h.Range(ctx, ownKeyPrefix)
+		cancel()
+		if err == nil {
+			h.followStore()
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Others, Followed, Ask and Handle implement Peers.
 func (h *fakeHost) Others() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -204,6 +250,13 @@
 	return ids
 }
 
+func (h *fakeHost) Followed() []string {
+	if h.watches() {
+		return nil
+	}
+	return membership.SelectByRendezvous(h.watchers, h.id, 3)
+}
+
 func (h *fakeHost) Handle(kind string, fn port.RequestHandler) { h.handlers[kind] = fn }
 
 func (h *fakeHost) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
@@ -248,14 +301,33 @@
 	if err := h.call(ctx); err != nil {
 		return nil, port.StorePosition{}, err
 	}
-	defer h.mu.Unlock()
 	var items []port.KeyValue
+	bytes := 0
 	for _, key := range slices.Sorted(maps.Keys(h.entries)) {
 		if e := h.entries[key]; strings.HasPrefix(key, prefix) && h.holds(e) {
 			items = append(items, port.KeyValue{Key: key, Value: e.value, Revision: e.revision, Epoch: h.epoch, Lease: e.lease})
+			bytes += 4*len(e.value)/3 + len(key) + storedOverhead
+		}
+	}
+	position := port.StorePosition{Epoch: h.epoch, Revision: h.revision}
+	h.linkBytes += bytes
+	var sent <-chan time.Time
+	if h.link > 0 {
+		if now := time.Now(); h.linkFreeAt.Before(now) {
+			h.linkFreeAt = now
+		}
+		h.linkFreeAt = h.linkFreeAt.Add(time.Duration(bytes) * time.Second / time.Duration(h.link))
+		sent = time.After(time.Until(h.linkFreeAt))
+	}
+	h.mu.Unlock()
+	if sent != nil {
+		select {
+		case <-sent:
+		case <-ctx.Done():
+			return nil, port.StorePosition{}, port.ErrUncertain
 		}
 	}
-	return items, port.StorePosition{Epoch: h.epoch, Revision: h.revision}, nil
+	return items, position, nil
 }
 
 func (h *fakeHost) Watch(context.Context, string, port.StorePosition, time.Duration) ([]port.KeyValue, port.StorePosition, error) {
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -75,6 +75,9 @@
 	// Ask sends a request to another host and returns its response. The error is a
 	// *verdict.Error.
 	Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error)
+	// Followed returns the other hosts from which this one learns what changes in the store;
+	// none if it watches the store itself.
+	Followed() []string
 	// Handle sets the handler for requests of a kind. New calls it.
 	Handle(kind string, fn port.RequestHandler)
 }
@@ -85,10 +88,15 @@
 	// HostID is the id of this host.
 	HostID string
 	// Store holds the entries of versions, under KeyPrefix, the prefix of pimentorill's own
-	// keys. MinLease is the shortest lease TTL that it grants.
-	Store     port.WatchableStore
-	KeyPrefix string
-	MinLease  time.Duration
+	// keys that all hosts know, and the records of streams, under RecordPrefix. MinLease is the
+	// shortest lease TTL that it grants.
+	Store        port.WatchableStore
+	KeyPrefix    string
+	RecordPrefix string
+	MinLease     time.Duration
+	// Watch returns the number of this host's uninterrupted watch of the store, 0 if it
+	// doesn't watch it.
+	Watch func() int64
 	// StoreAvailable reports whether the store responded to the last call.
 	StoreAvailable func() bool
 	// Snapshot returns the newest snapshot, never nil.
@@ -111,6 +119,10 @@
 	// versionReads and segmentReads are those of searches.
 	versionReads sharedReads[storedVersionsAt]
 	segmentReads sharedReads[struct{}]
+	// searchedAt is when a search last read the segments; only segmentReads uses it.
+	searchedAt time.Time
+	// heldSince is the number of the watch during which this host has read all segments.
+	heldSince atomic.Int64
 	// segments is used by Run only.
 	segments segmentWriter
 
@@ -208,8 +220,12 @@
 	return r.versions.withEntries(endpoints)
 }
 
-// Run writes what the store has to know until ctx ends. It must be called once.
+// Run writes what the store has to know, and holds what this host is to know of it, until
+// ctx ends. It must be called once.
 func (r *Registry) Run(ctx context.Context) {
+	var holding sync.WaitGroup
+	holding.Go(func() { r.holdSegments(ctx) })
+	defer holding.Wait()
 	cleanUp := time.NewTicker(cleanUpInterval)
 	defer cleanUp.Stop()
 	for ctx.Err() == nil {
--- a/internal/origins/segments.go
+++ b/internal/origins/segments.go
@@ -18,7 +18,7 @@
 // began to the store, a few times a second, so that they outlive the loss of all hosts. It
 // adds them to a segment, a key of its own, until that is full. A segment expires with its
 // lease, once its streams have ended; a host takes a new lease, and a new segment, often
-// enough. Hosts learn the records of the others with what they read and watch in any case.
+// enough. The hosts that watch the store hold all records (hold.go).
 //
 // A record is written only after the first event of its stream, when it is final. So it doesn't
 // matter in which order segments are read. Those of an earlier epoch of the store don't count.
@@ -106,7 +106,7 @@
 	}
 	if w.key == "" || len(w.records)+len(records) > segmentRecords {
 		w.count++
-		w.key = fmt.Sprintf("%s%s%s%s/%x/%d", r.cfg.KeyPrefix, entryKeyPrefix, segmentKeyPrefix, r.cfg.HostID, r.startedAt.UnixMilli(), w.count)
+		w.key = fmt.Sprintf("%s%s%s%s/%x/%d", r.cfg.RecordPrefix, entryKeyPrefix, segmentKeyPrefix, r.cfg.HostID, r.startedAt.UnixMilli(), w.count)
 		w.revision, w.records = 0, nil
 	}
 	all := append(w.records[:len(w.records):len(w.records)], records...)
--- a/internal/origins/storeread.go
+++ b/internal/origins/storeread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -76,7 +77,9 @@
 		port.Sleep(ctx, positionInterval)
 	}
 	return r.versionReads.get(ctx, func() (storedVersionsAt, error) {
-		items, position, err := r.readKeys(versionKeyPrefix)
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		items, position, err := r.cfg.Store.Range(ctx, r.cfg.KeyPrefix+entryKeyPrefix+versionKeyPrefix)
 		if err != nil {
 			return storedVersionsAt{}, err
 		}
@@ -97,18 +100,21 @@
 		return port.ErrUnavailable
 	}
 	_, err := r.segmentReads.get(ctx, func() (struct{}, error) {
-		items, _, err := r.readKeys(segmentKeyPrefix)
-		if err == nil {
-			r.LearnSegments(items)
-		}
-		return struct{}{}, err
+		interval := hostSearchInterval * time.Duration(len(r.cfg.Snapshot().Hosts))
+		port.Sleep(context.Background(), interval-r.cfg.Clock.Now().Sub(r.searchedAt))
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		r.searchedAt = r.cfg.Clock.Now()
+		return struct{}{}, r.learnAllSegments(ctx)
 	})
 	return err
 }
 
-// readKeys reads the keys of this package that continue with a prefix.
-func (r *Registry) readKeys(prefix string) ([]port.KeyValue, port.StorePosition, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	return r.cfg.Store.Range(ctx, r.cfg.KeyPrefix+entryKeyPrefix+prefix)
+// learnAllSegments reads all segments and learns their records.
+func (r *Registry) learnAllSegments(ctx context.Context) error {
+	items, _, err := r.cfg.Store.Range(ctx, r.cfg.RecordPrefix+entryKeyPrefix+segmentKeyPrefix)
+	if err == nil {
+		r.LearnSegments(items)
+	}
+	return err
 }
