Give a complete read longer when the store sends it slowly

Cause: each complete read ended at the same bound of a second and began anew, so that nothing of what was sent counted and the link stayed full.

Evidence: TestCompleteReadThatTakesLongEnds failed before: not true: replica.Current().Config != nil

Change: a response that began and did not end in time is told from silence (port.ErrUnfinished), and doubles the bound of the next complete read, up to four seconds. A store that is silent keeps the bound of a second.

Result: the test passes.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -39,6 +39,9 @@
 	watchBurst         = 5
 	// callTimeout bounds a store call beyond the time that it is asked to wait.
 	callTimeout = time.Second
+	// maxReadTimeout bounds a complete read after others whose responses began and did not
+	// end within callTimeout, as of a store that many hosts read at the same time.
+	maxReadTimeout = 4 * callTimeout
 	// minRetryDelay and maxRetryDelay bound the delay after a failed store call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
@@ -279,12 +282,14 @@
 	return min(maxWatchInterval, max(minWatchInterval, time.Duration(hosts)*fleetWatchInterval))
 }
 
-// readOrWatch makes one store call: a complete read if the position is zero, else a
-// watch for changes after it. It returns the items read or changed, the position to
+// readOrWatch makes one store call: a complete read if the position is zero, bounded by
+// readTimeout, else a watch for changes after it. It returns the items read or changed, the position to
 // continue from, and whether the items are all items of the store.
-func (r *Replica) readOrWatch(ctx context.Context, after port.StorePosition) ([]port.KeyValue, port.StorePosition, bool, error) {
+func (r *Replica) readOrWatch(ctx context.Context, after port.StorePosition, readTimeout time.Duration) ([]port.KeyValue, port.StorePosition, bool, error) {
 	if after == (port.StorePosition{}) {
-		items, next, err := r.readAll(ctx)
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		items, next, err := r.readAll(readCtx)
 		return items, next, true, err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
@@ -299,8 +304,6 @@
 // readAll returns the items of the state and the position from which a watch misses no change
 // of them: that of the first call.
 func (r *Replica) readAll(ctx context.Context) ([]port.KeyValue, port.StorePosition, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	prefixes := r.cfg.StatePrefixes
 	if prefixes == nil {
 		prefixes = []string{allKeys}
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -340,3 +340,15 @@
 		synctest.Wait()
 	})
 }
+
+// TestCompleteReadThatTakesLongEnds guards against hosts that never get to know the state, and
+// keep the store busy for good, because what they read takes longer than a call's time bound.
+func TestCompleteReadThatTakesLongEnds(t *testing.T) {
+	store := newFakeStore()
+	store.put("config/", "7")
+	store.rangeTime = 2500 * time.Millisecond
+	runReplica(t, store, nil, func(is *is.I, replica *Replica, _ *recordingObserver) {
+		advance(7 * time.Second)
+		is.True(replica.Current().Config != nil)
+	})
+}
--- a/internal/facts/follow.go
+++ b/internal/facts/follow.go
@@ -70,12 +70,14 @@
 	alone      time.Time
 	startedAt  time.Time
 	retryDelay time.Duration
-	watches    *rate.Limiter
+	// readTimeout bounds the next complete read.
+	readTimeout time.Duration
+	watches     *rate.Limiter
 }
 
 // followStore follows the store until ctx ends.
 func (r *Replica) followStore(ctx context.Context) {
-	f := &follower{Replica: r, avoided: make(map[string]time.Time), startedAt: r.cfg.Clock.Now(), retryDelay: minRetryDelay, watches: rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)}
+	f := &follower{Replica: r, avoided: make(map[string]time.Time), startedAt: r.cfg.Clock.Now(), retryDelay: minRetryDelay, readTimeout: callTimeout, watches: rate.NewLimiter(rate.Every(minWatchInterval), watchBurst)}
 	for ctx.Err() == nil {
 		followed := f.followed()
 		f.setWatchesStore(len(followed) == 0)
@@ -161,11 +163,11 @@
 	if f.watches.Wait(ctx) != nil {
 		return
 	}
-	items, next, complete, err := f.readOrWatch(ctx, f.position)
+	items, next, complete, err := f.readOrWatch(ctx, f.position, f.readTimeout)
 	switch {
 	case ctx.Err() != nil:
 	case err == nil:
-		f.retryDelay = minRetryDelay
+		f.retryDelay, f.readTimeout = minRetryDelay, callTimeout
 		afterOutage := f.storeStatus.recordResponse()
 		if complete {
 			f.watch.Add(1)
@@ -176,6 +178,9 @@
 		f.cfg.Log.Info("store history not available, reading all keys", slog.Int64("after", f.position.Revision), slog.Int64("epoch", f.position.Epoch), slog.Any("error", err))
 		f.position = port.StorePosition{}
 	default:
+		if complete && errors.Is(err, port.ErrUnfinished) {
+			f.readTimeout = min(maxReadTimeout, 2*f.readTimeout)
+		}
 		f.storeStatus.recordFailure(err)
 		f.changelog.wake()
 		f.awaitStore(ctx)
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -58,6 +58,9 @@
 	// ErrUncertain means that a write may have taken effect. Errors that
 	// wrap it also wrap ErrUnavailable.
 	ErrUncertain = errors.Wrap(ErrUnavailable, "store: write may have taken effect")
+	// ErrUnfinished means that a response began and did not end in time: the store serves, and
+	// what it sends takes longer. Errors that wrap it also wrap ErrUncertain.
+	ErrUnfinished = errors.Wrap(ErrUncertain, "store: response did not end")
 )
 
 // HostList is the platform's list of the hosts of this system and of endpoints.
