--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -141,10 +141,10 @@
 	// is the first one on its connection, which can belong to no earlier call. Nil stands for a
 	// function that always returns MatchOwn.
 	Matches func(resp *fasthttp.Response, first bool) Match
-	// Named reports, after Read, whether the response names its call. A response that doesn't may
-	// belong to an earlier call, unless it is the first one on its connection; the call's own is
-	// then still due, so that the connection is closed. If Named is nil, the connection is used
-	// further.
+	// Named reports, after Read, whether the response names its call. One that doesn't may belong
+	// to an earlier call, unless it is the first one on its connection. The connection is then
+	// closed, as the call's own response may still be due. Nil stands for a function that always
+	// returns true.
 	Named func(*fasthttp.Response) bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
@@ -304,8 +304,8 @@
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
-	ownIsDue := call.Named != nil && c.responses > 1 && !call.Named(resp)
-	return c.reader.Buffered() == 0 && !ownIsDue, nil
+	mayBeDue := call.Named != nil && c.responses > 1 && !call.Named(resp)
+	return c.reader.Buffered() == 0 && !mayBeDue, nil
 }
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces, because a
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -159,9 +159,9 @@
 	CrashEntryName func(key string) (name string, ok bool)
 	// VersionEntryName is the same for entries of software versions.
 	VersionEntryName func(key string) (name string, ok bool)
-	// IsRecord reports whether the items of a key are not part of the state: those that
-	// change in the store while this host watches it, or are read, are passed to OnRecords, on the goroutine that owns the
-	// state, and not to other hosts. Both may be nil.
+	// IsRecord reports whether the items of a key are not part of the state. Those that change
+	// while this host watches the store, or are read, are passed to OnRecords, on the goroutine
+	// that owns the state, and not to other hosts. Both may be nil.
 	IsRecord  func(key string) bool
 	OnRecords func(items []port.KeyValue)
 	// StatePrefixes are the prefixes of the keys of which a complete read consists, without
@@ -283,8 +283,8 @@
 }
 
 // readOrWatch makes one store call: a complete read if the position is zero, bounded by
-// readTimeout, else a watch for changes after it. It returns the items read or changed, the position to
-// continue from, and whether the items are all items of the store.
+// readTimeout, else a watch for changes after it. It returns the items read or changed, the
+// position to continue from, and whether the read was complete.
 func (r *Replica) readOrWatch(ctx context.Context, after port.StorePosition, readTimeout time.Duration) ([]port.KeyValue, port.StorePosition, bool, error) {
 	if after == (port.StorePosition{}) {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/origins/segments.go
+++ b/internal/origins/segments.go
@@ -21,7 +21,8 @@
 // adds them to a segment, a key of its own, until that is full. A segment expires with its
 // lease, once its streams have ended; a host takes a new lease, and a new segment, often
 // enough. A host that follows others passes its records on to one of these, which writes those
-// of many hosts together: they are in the store sooner, with fewer writes. The hosts that watch the store hold all records (hold.go).
+// of many hosts together: they are in the store sooner, with fewer writes. The hosts that watch
+// the store hold all records (hold.go).
 //
 // A record is written only after the first event of its stream, when it is final. So it doesn't
 // matter in which order segments are read. Those of an earlier epoch of the store don't count.
