Believe carried refusals without an id only from a new connection

Callers would see TWICE or REFUSED while versions are mixed. The test of carriers of earlier versions has these cases now and failed in them before.

--- a/internal/relay/arrival_test.go
+++ b/internal/relay/arrival_test.go
@@ -39,7 +39,7 @@
 		named   bool
 		arrival *port.Arrival
 		notRun  bool
-	}{{true, nil, true}, {false, nil, false}, {false, &port.Arrival{}, true}} {
+	}{{true, nil, true}, {false, nil, false}, {false, &port.Arrival{}, true}, {false, &port.Arrival{Before: 3}, false}, {false, &port.Arrival{Discarded: 1}, false}} {
 		t.Run(fmt.Sprint(tc), func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(2, func(_ context.Context, read func(*port.EndpointResponse) error) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -355,10 +355,11 @@
 		c.learn(host, r.Endpoint, p.Notice, false)
 		return p.Failure.error(host)
 	}
-	c.learn(host, r.Endpoint, p.Head.Notice, p.Head.NotRun || p.Head.Signed && p.Head.HasAttemptID)
+	response := p.Head.decode(host, body)
+	c.learn(host, r.Endpoint, p.Head.Notice, response.NotRun || response.Signed && response.HasAttemptID)
 	body.take(p)
 	defer body.close()
-	return read(p.Head.decode(host, body))
+	return read(response)
 }
 
 // newID returns an id that no other exchange has.
