Keep the platform's field names out of the tests of httpcall

The heads that are cut there had a field of the users' platform, whose names belong to platform/ alone. The field has no meaning to the package; the test is otherwise unchanged and passes with the race detector.

--- a/internal/adapter/httpcall/cut_test.go
+++ b/internal/adapter/httpcall/cut_test.go
@@ -21,7 +21,7 @@
 	"HTTP/1.0":  "HTTP/1.0 200 OK\r\nX-Id: a\r\n",
 	"line feed": "HTTP/1.1 200 OK\nX-Id: a\nContent-Length: 5\n",
 	"interim":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\n",
-	"refusal":   "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n",
+	"refusal":   "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Length: 0\r\n",
 }
 
 // cutCall sends a request with a body and reports whether there was a response, and its error.
