Name the attempt in the refusals of the exchange soak's endpoints

Cause: its endpoints refused without the attempt's id and without saying how the answer arrived. No adapter reports that: sound endpoints name their refusals, and httpcall tells the arrival of each answer. Refusals without an id have tests of their own (internal/relay, platform).

The stand-in's refusals now name the attempt.

--- a/internal/exchange/soak_endpoints_test.go
+++ b/internal/exchange/soak_endpoints_test.go
@@ -51,7 +51,7 @@
 		return verdict.Wrap(err, verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint broke off")
 	}
 	if refuses {
-		return read(&port.EndpointResponse{Status: 503, NotRun: true, Body: strings.NewReader("")})
+		return read(&port.EndpointResponse{Status: 503, NotRun: true, HasAttemptID: true, Body: strings.NewReader("")})
 	}
 	response := &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -1, Body: body}
 	if !strings.HasPrefix(r.Exchange.Path, "/stream/") && !strings.HasPrefix(r.Exchange.Path, "/once/") {
