Look for other carriers once an endpoint has asked all known ones for rest

Callers of a host without a path got 503, "endpoint has asked all carriers for rest", while hosts that the endpoint had asked for nothing reached it.

Cause: a search for carriers was made only where none was known. Known ones at rest ended the call at once, and the host then left the endpoint alone for the shortest of their rests.

A search is now made before such a refusal too. It leaves out hosts at rest, and takes note of a rest that a host names in its answer. Probes still count a host at rest as one that reaches the endpoint.

--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -197,8 +197,9 @@
 }
 
 // candidates returns the hosts to ask next whether they reach an endpoint: carriers
-// first, then hosts of this zone and of others, in a random order.
-func (c *carriers) candidates(e *catalog.Endpoint, asked map[string]bool) []string {
+// first, then hosts of this zone and of others, in a random order. With toSend, hosts that the
+// endpoint has asked for rest are left out.
+func (c *carriers) candidates(e *catalog.Endpoint, asked map[string]bool, toSend bool) []string {
 	hosts := c.cfg.Hosts()
 	now := c.cfg.Clock.Now()
 	eligible := c.eligible(e)
@@ -210,6 +211,7 @@
 		s := c.hosts[id]
 		switch {
 		case asked[id] || s != nil && now.Sub(s.rejected[e.Incarnation()]) < rejectedFor:
+		case toSend && s != nil && s.rests[e.Incarnation()].After(now):
 		case s != nil && now.Sub(s.confirmedAt) <= confirmedFor:
 			confirmed = append(confirmed, id)
 		case hosts[id].Zone == c.cfg.Zone:
@@ -226,9 +228,9 @@
 	return list[:min(askedAtOnce, len(list))]
 }
 
-// find returns nil once a host says that it reaches the endpoint. The error is that of
-// the last host asked, or errNoCarrier.
-func (c *carriers) find(ctx context.Context, e *catalog.Endpoint) error {
+// find returns nil once a host says that it reaches the endpoint, with toSend one that the
+// endpoint has not asked for rest. The error is that of the last host asked, or errNoCarrier.
+func (c *carriers) find(ctx context.Context, e *catalog.Endpoint, toSend bool) error {
 	defer c.prune()
 	payload, err := cbor.Marshal(probeRequest{Endpoint: refTo(e)})
 	if err != nil {
@@ -236,14 +238,20 @@
 	}
 	err = errNoCarrier
 	for asked := make(map[string]bool); ctx.Err() == nil && len(asked) < maxAsked; {
-		hosts := c.candidates(e, asked)
+		hosts := c.candidates(e, asked, toSend)
 		if len(hosts) == 0 {
 			return err
 		}
 		answers := make(chan error, len(hosts))
 		for _, host := range hosts {
 			asked[host] = true
-			go func() { answers <- c.ask(ctx, host, e, payload) }()
+			go func() {
+				rest, err := c.ask(ctx, host, e, payload)
+				if err == nil && toSend && rest > 0 {
+					err = errNoCarrier
+				}
+				answers <- err
+			}()
 		}
 		for range hosts {
 			if answer := <-answers; answer == nil {
@@ -256,14 +264,15 @@
 	return cmp.Or(ctx.Err(), err)
 }
 
-// ask asks a host whether it reaches an endpoint, and records the answer. The question is
-// not dropped if ctx ends: each answer helps to find carriers.
-func (c *carriers) ask(ctx context.Context, host string, e *catalog.Endpoint, payload []byte) error {
+// ask asks a host whether it reaches an endpoint, and records the answer. rest is how long the
+// endpoint has asked the host for rest. The question is not dropped if ctx ends: each answer
+// helps to find carriers.
+func (c *carriers) ask(ctx context.Context, host string, e *catalog.Endpoint, payload []byte) (rest time.Duration, err error) {
 	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
 	encoded, err := c.cfg.Peers.Ask(askCtx, host, kindProbe, payload)
+	var reply callReply
 	if err == nil {
-		var reply callReply
 		if err = cbor.Unmarshal(encoded, &reply); err == nil && reply.Failure != nil {
 			err = reply.Failure.decode(host)
 		}
@@ -271,8 +280,12 @@
 	c.record(host, e, err == nil)
 	if err != nil {
 		c.cfg.Log.Debug("host does not reach an endpoint either", slog.String("host", host), slog.String("endpoint", e.ID), slog.Any("error", err))
+		return 0, err
+	}
+	if reply.Notice.Rest > 0 {
+		c.recordRest(host, e, reply.Notice.Rest)
 	}
-	return err
+	return reply.Notice.Rest, nil
 }
 
 // notify sends a notice to a carrier without waiting for the response.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,7 +146,7 @@
 
 // ProbeOverPeers returns nil if the endpoint responds to another host.
 func (c *Client) ProbeOverPeers(ctx context.Context, e *catalog.Endpoint) error {
-	return c.carriers.find(ctx, e)
+	return c.carriers.find(ctx, e, false)
 }
 
 // Probe implements port.EndpointClient. A probe on a new connection is always direct.
@@ -228,7 +228,8 @@
 	var last error = errNoCarrier
 	for range maxCarriers {
 		host, rest := c.carriers.pick(e, tried)
-		if host == "" && rest == 0 && c.carriers.find(ctx, e) == nil {
+		if host == "" {
+			_ = c.carriers.find(ctx, e, true)
 			host, rest = c.carriers.pick(e, tried)
 		}
 		if host == "" {
