Take a request whose dial failed for one that has not run, in tests

Cause: the tests' caller looked for the text 'connection refused'. A host that closes its listener resets the connections that are being opened. No byte of the request was sent then; the caller took it for one that may have run, which a caller without a key does not send again.

Change: a dial that fails proves that nothing ran, whatever its error.

TestRequestWhoseDialFailedHasNotRun fails before (may_have_run != not_run for a reset dial) and passes after; a reset while reading or writing remains may_have_run.

--- a/internal/testbed/load.go
+++ b/internal/testbed/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pimentorill/pimentorill/internal/app"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/invariant"
@@ -136,9 +139,10 @@
 }
 
 // transportErrorVerdict returns the verdict for a send without a response: only a
-// refused connection proves that nothing ran.
+// failed dial proves that nothing ran.
 func transportErrorVerdict(err error) verdict.Verdict {
-	if strings.Contains(err.Error(), "connection refused") {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
 		return verdict.NotRun
 	}
 	return verdict.MayHaveRun
