Ask a zone's new lease holder for permits at once

What callers saw: requests that waited at cold endpoints until their deadline, and then failed with may_have_run since earlier stages had run (TestRollingRestartUnderLoad).

Cause: after a failed permit request a host asks for no permit of that endpoint for a second, and attempts wait at most a second for one. While a zone's lease changes hands, the request of each stage's endpoint fails at the holder that left and costs that second, also when the new holder is known meanwhile.

Change: the announcement of a lease holder ends the delay for the endpoints of its zone and wakes the attempts that wait; a request to the holder before that fails later starts no new delay.

TestWaitingAttemptAsksANewLeaseHolderAtOnce fails before (no permit after 1 s) and passes after (within 50 ms of the announcement).

--- a/internal/app/coldstart.go
+++ b/internal/app/coldstart.go
@@ -62,6 +62,10 @@
 // endpointState holds the waiting attempts and the state of the permit requests
 // of one endpoint. The gate's mu guards it.
 type endpointState struct {
+	// zone is the endpoint's availability zone; empty until a permit is first requested.
+	zone string
+	// holderChanges counts the announcements of a new holder of the zone's lease.
+	holderChanges int
 	// waiting is the number of attempts that wait for a slot or a permit.
 	waiting         int
 	requestInFlight bool
@@ -170,12 +174,29 @@
 // caller holds mu and ensures that no other request of the endpoint is in flight.
 func (g *coldStartGate) startPermitRequestLocked(e release.Endpoint, state *endpointState, deadline time.Time) {
 	state.requestInFlight = true
-	g.spawn(func() { g.sendPermitRequest(e, deadline) })
+	state.zone = e.AvailabilityZone
+	holderChanges := state.holderChanges
+	g.spawn(func() { g.sendPermitRequest(e, deadline, holderChanges) })
+}
+
+// leaseHolderChanged makes the attempts that wait for permits of the zone's endpoints
+// ask its new lease holder at once.
+func (g *coldStartGate) leaseHolderChanged(zone string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.endpoints {
+		if state.zone == zone {
+			state.holderChanges++
+			state.nextRequestAt, state.failingSince = time.Time{}, time.Time{}
+			state.wakeWaiters()
+		}
+	}
 }
 
 // sendPermitRequest requests permits for all waiting attempts, to last until
-// deadline, and applies the reply.
-func (g *coldStartGate) sendPermitRequest(e release.Endpoint, deadline time.Time) {
+// deadline, and applies the reply. holderChanges is the endpoint's count when the
+// request was started.
+func (g *coldStartGate) sendPermitRequest(e release.Endpoint, deadline time.Time, holderChanges int) {
 	ctx, cancel := context.WithTimeout(context.Background(), permitRequestTimeout)
 	defer cancel()
 	sent := g.clock.Now()
@@ -184,7 +205,7 @@
 	if err == nil {
 		g.limiter.ApplyReply(sent, request, reply)
 	}
-	g.permitRequestDone(e, deadline, reply, err)
+	g.permitRequestDone(e, deadline, holderChanges, reply, err)
 }
 
 func (g *coldStartGate) waitingCount(endpoint string) int {
@@ -194,14 +215,16 @@
 }
 
 // permitRequestDone records the result of a permit request, sends the next one if
-// requestAgain is set and the request succeeded, and wakes the waiting attempts.
-func (g *coldStartGate) permitRequestDone(e release.Endpoint, deadline time.Time, reply coldstart.PermitReply, err error) {
+// requestAgain is set and the request succeeded, and wakes the waiting attempts. A
+// failure says nothing of a lease holder announced since the request was started.
+func (g *coldStartGate) permitRequestDone(e release.Endpoint, deadline time.Time, holderChanges int, reply coldstart.PermitReply, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := g.stateLocked(e.ID)
 	state.requestInFlight = false
 	state.nextRequestAt = g.clock.Now().Add(reply.RetryAfter)
 	switch {
+	case err != nil && state.holderChanges != holderChanges:
 	case err != nil:
 		state.recordRequestFailure(g.clock.Now())
 	case state.requestAgain:
--- a/internal/app/traffic.go
+++ b/internal/app/traffic.go
@@ -48,6 +48,9 @@
 	d.permits = newPermitService(a)
 	d.gate = newColdStartGate(d.permits.limiter, d.permits, a.deps.Clock, d.spawn)
 	d.gate.reportLoad = d.observeLoad
+	if a.deps.Gossip != nil {
+		a.deps.Gossip.Subscribe(topicLeaseHolder, func(r port.GossipRecord) { d.gate.leaseHolderChanged(r.Key) })
+	}
 	d.picker.SetUnavailable(func(id string) bool { return d.gate.isBackingOff(id) || a.guard.Reserved(id) })
 	runnerDeps := pipeline.Deps{
 		Picker:        d.picker,
