Announce a lease holder once it may issue permits

Cause: a host announced that it holds its zone's lease when it had acquired it, and could issue permits up to 200 ms and a write of the marker later. A host that asked meanwhile was refused and asked no more for a second.

Change: the permit service announces the holder after the marker is written, and is woken by the change of the lease instead of its next poll.

TestLeaseHolderIsAnnouncedOnceItIssuesPermits fails before (the permit service announces nothing) and passes after.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -172,6 +172,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create attempt pool")
 	}
+	if a.lease != nil {
+		a.lease.onChange = a.dataPlane.permits.leaseChanged.Signal
+	}
 	a.subscribeLeaving()
 	a.subscribeReleases()
 	a.controlLoop.beforePublish = func(s *Snapshot) { a.dataPlane.applySnapshot(s) }
--- a/internal/app/holder_test.go
+++ b/internal/app/holder_test.go
@@ -9,9 +9,11 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/coldstart"
+	"github.com/pimentorill/pimentorill/internal/core/order"
 	"github.com/pimentorill/pimentorill/internal/core/pipeline"
 	"github.com/pimentorill/pimentorill/internal/core/release"
 	"github.com/pimentorill/pimentorill/internal/port"
+	"github.com/pimentorill/pimentorill/internal/standin"
 )
 
 // changingHolder is a permitRequester whose lease holder is gone until the given time.
@@ -52,3 +54,30 @@
 		})
 	}
 }
+
+// Guards against a lease holder that is asked for permits before it may issue any: the
+// hosts that asked then asked no more for a second.
+func TestLeaseHolderIsAnnouncedOnceItIssuesPermits(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{time.Now()}
+	store := standin.NewMemStore(port.SystemClock{})
+	p := newTestPermits(t, standin.NewMemStore(port.SystemClock{}), clock, "h1", 0)
+	p.app.deps.ControlStore = store
+	p.app.deps.ZoneLease = func(now time.Time) order.Lease {
+		return order.Lease{Fence: 7, AcquiredAt: now, ValidUntil: now.Add(time.Minute)}
+	}
+	var announced []uint64
+	gossip := &fakeGossip{subscribers: map[string][]func(port.GossipRecord){}}
+	gossip.Subscribe(topicLeaseHolder, func(r port.GossipRecord) {
+		announced = append(announced, r.Version)
+		is.True(p.grantPermit(clock.now))
+	})
+	p.app.deps.Gossip = gossip
+	store.SetOutage(true)
+	p.updateLease(t.Context())
+	is.Equal(len(announced), 0)
+	store.SetOutage(false)
+	p.updateLease(t.Context())
+	p.updateLease(t.Context())
+	is.Equal(announced, []uint64{7})
+}
--- a/internal/app/permits.go
+++ b/internal/app/permits.go
@@ -57,6 +57,8 @@
 	fence          uint64
 	earlierPermits earlierPermits
 	markerRevision uint64
+	// leaseChanged makes run look at the lease at once.
+	leaseChanged wake
 }
 
 // earlierPermits is what a lease holder learns from the marker of the one before it.
@@ -78,7 +80,7 @@
 // newPermitService registers handlers with the peers and the gossip, so it must be
 // called before these are started.
 func newPermitService(a *App) *permitService {
-	p := &permitService{app: a, standalone: a.cfg.Standalone || a.deps.Peers == nil && a.deps.ZoneLease == nil}
+	p := &permitService{app: a, standalone: a.cfg.Standalone || a.deps.Peers == nil && a.deps.ZoneLease == nil, leaseChanged: newWake()}
 	p.limiter = coldstart.NewLimiter(p.broadcastSuspicion)
 	p.issuer = coldstart.NewPermitIssuer(p.limiter.Status, p.broadcastStatus)
 	if p.standalone {
@@ -171,13 +173,14 @@
 	}
 	for ctx.Err() == nil {
 		p.updateLease(ctx)
-		port.Sleep(ctx, leasePollInterval)
+		p.leaseChanged.sleep(ctx, leasePollInterval)
 	}
 	p.clearMarker()
 }
 
 // updateLease passes the current lease to the issuer, a new lease only after the
-// marker is written. Without the marker no permit is issued under it.
+// marker is written. Without the marker no permit is issued under it. Then it announces
+// this host as the holder of a new lease, so that no host asks it for permits before.
 func (p *permitService) updateLease(ctx context.Context) {
 	current := p.lease(p.app.deps.Clock.Now())
 	next := coldstart.Lease{Fence: current.Fence, Since: current.AcquiredAt, Until: current.ValidUntil}
@@ -186,7 +189,8 @@
 		p.issuer.SetLease(coldstart.Lease{})
 		return
 	}
-	if current.Fence != p.fence {
+	isNew := current.Fence != p.fence
+	if isNew {
 		earlier, err := p.writeMarker(ctx)
 		if err != nil {
 			p.app.deps.Log.Warn("marker of permits in use not written", slog.Any("error", err))
@@ -197,6 +201,9 @@
 	}
 	next.NoEarlierPermits, next.EarlierPermitsUntil = p.earlierPermits.none, p.earlierPermits.until
 	p.issuer.SetLease(next)
+	if isNew {
+		p.app.broadcastLeaseHolder(current.Fence)
+	}
 }
 
 // writeMarker writes the marker of a host that issues permits, and returns what the one
--- a/internal/app/zonelease.go
+++ b/internal/app/zonelease.go
@@ -33,6 +33,9 @@
 	app *App
 	// onStoreResult is called with the error of each call to the store; may be nil.
 	onStoreResult func(err error)
+	// onChange is called when the host has acquired or lost the lease; may be nil. It
+	// must not block.
+	onChange func()
 
 	mu      sync.Mutex
 	elector *lease.Elector // guarded by mu
@@ -132,8 +135,8 @@
 	z.recordChange(0)
 }
 
-// recordChange logs and audits an acquisition or a loss of the lease, and
-// broadcasts an acquisition. token is the fencing token held now, 0 if none.
+// recordChange logs and audits an acquisition or a loss of the lease, and calls
+// onChange. token is the fencing token held now, 0 if none.
 func (z *zoneLease) recordChange(token uint64) {
 	if token == z.recordedToken {
 		return
@@ -143,8 +146,8 @@
 		action, number = "lost or given back", z.recordedToken
 	}
 	z.recordedToken = token
-	if token > 0 {
-		z.app.broadcastLeaseHolder(token)
+	if z.onChange != nil {
+		z.onChange()
 	}
 	deps := z.app.deps
 	deps.Log.Info("zone lease changed", slog.String("action", action), slog.Uint64("fence", number))
