Name the epoch of the product's own store

The product's store protocol named no epoch, so a host could not tell that the store had come back from an older copy, and a write on a revision of before, which the store has given out again, undid another change.

Change: the responses of the store to GET and PUT have the header Store-Epoch, which rises with each restore; Entry carries it, also for a key that does not exist. CompareAndSwapInEpoch is refused in any other epoch (query parameter epoch). A store that names no epoch ignores the parameter, and its epoch is 0. Leases, orders and books still write without the condition.

No existing test was changed.

--- a/internal/adapter/store/client.go
+++ b/internal/adapter/store/client.go
@@ -5,7 +5,8 @@
 // lists. PUT and DELETE take the expected revision in the query parameter prev, PUT
 // also takes ttl_ms. A GET with after and wait_ms is a long poll: it waits up to
 // wait_ms for a revision other than after. Status 429 and 503 mean that the call had
-// no effect.
+// no effect. The header Store-Epoch of the responses to GET and PUT is the number of
+// the store's epoch, from 1. A PUT with the query parameter epoch gets 409 in any other epoch.
 package store
 
 import (
@@ -35,6 +36,8 @@
 	maxResponseBytes = 64 << 20
 	// maxKeyBytes limits the length of a key before escaping.
 	maxKeyBytes = 512
+	// headerEpoch is the header with the store's epoch.
+	headerEpoch = "Store-Epoch"
 )
 
 // Config configures a Client. Zero values select the defaults.
@@ -78,10 +81,12 @@
 // Unwrap returns the kind and the cause.
 func (e *callError) Unwrap() []error { return []error{e.kind, e.cause} }
 
-// response is the status and body of a response of the store.
+// response is the status, the epoch and the body of a response of the store.
 type response struct {
 	status int
-	body   []byte
+	// epoch is 0 if the response names none.
+	epoch int64
+	body  []byte
 }
 
 // Get implements port.Store.
@@ -106,12 +111,22 @@
 	if err := got.statusError(); err != nil {
 		return nil, err
 	}
-	return decodeList(got.body)
+	list, err := decodeList(got.body)
+	for i := range list {
+		list[i].Epoch = got.epoch
+	}
+	return list, err
 }
 
-// CompareAndSwap implements port.Store. If the response to a mismatch can't be
-// decoded, it returns a zero entry with port.ErrConflict.
+// CompareAndSwap implements port.Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	return c.CompareAndSwapInEpoch(ctx, 0, key, prev, value, ttl)
+}
+
+// CompareAndSwapInEpoch implements port.Store. A store that names no epoch ignores the
+// condition. If the response to a mismatch can't be decoded, it returns an entry that has
+// only an epoch.
+func (c *Client) CompareAndSwapInEpoch(ctx context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	if len(value) > port.MaxValueBytes {
 		return port.Entry{}, errors.Errorf("store: value has %d bytes, the limit is %d", len(value), port.MaxValueBytes)
 	}
@@ -120,6 +135,9 @@
 		return port.Entry{}, err
 	}
 	query := "?prev=" + strconv.FormatUint(prev, 10) + "&ttl_ms=" + strconv.FormatInt(ttl.Milliseconds(), 10)
+	if epoch != 0 {
+		query += "&epoch=" + strconv.FormatInt(epoch, 10)
+	}
 	got, err := c.do(ctx, fasthttp.MethodPut, path+query, value)
 	if err != nil {
 		return port.Entry{}, err
@@ -127,8 +145,9 @@
 	if got.status == fasthttp.StatusConflict {
 		current, err := decodeEntry(got.body)
 		if err != nil {
-			return port.Entry{}, port.ErrConflict
+			current = port.Entry{}
 		}
+		current.Epoch = got.epoch
 		return current, port.ErrConflict
 	}
 	entry, err := got.decodeEntry()
@@ -204,6 +223,7 @@
 	sent, err := c.pool.Do(ctx, c.address, req, false, func(resp *fasthttp.Response) error {
 		var err error
 		got.status = resp.StatusCode()
+		got.epoch, _ = strconv.ParseInt(string(resp.Header.Peek(headerEpoch)), 10, 64)
 		got.body, err = httpcall.ReadBody(resp, maxResponseBytes)
 		return err
 	})
@@ -239,10 +259,14 @@
 
 // decodeEntry returns the entry in the body, or the error of statusError.
 func (r response) decodeEntry() (port.Entry, error) {
-	if err := r.statusError(); err != nil {
+	if err := r.statusError(); errors.Is(err, port.ErrNotFound) {
+		return port.Entry{Epoch: r.epoch}, err
+	} else if err != nil {
 		return port.Entry{}, err
 	}
-	return decodeEntry(r.body)
+	entry, err := decodeEntry(r.body)
+	entry.Epoch = r.epoch
+	return entry, err
 }
 
 // errDecode means that the body of a response could not be decoded.
--- a/internal/adapter/store/limit.go
+++ b/internal/adapter/store/limit.go
@@ -195,10 +195,15 @@
 
 // CompareAndSwap implements port.Store.
 func (l *Limited) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	return l.CompareAndSwapInEpoch(ctx, 0, key, prev, value, ttl)
+}
+
+// CompareAndSwapInEpoch implements port.Store.
+func (l *Limited) CompareAndSwapInEpoch(ctx context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	if err := l.acquire(ctx, l.writes); err != nil {
 		return port.Entry{}, err
 	}
-	e, err := l.inner.CompareAndSwap(ctx, key, prev, value, ttl)
+	e, err := l.inner.CompareAndSwapInEpoch(ctx, epoch, key, prev, value, ttl)
 	l.breaker.recordResult(err)
 	return e, err
 }
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -13,7 +13,8 @@
 // The error of a failed write tells whether it may have taken effect: an error
 // that wraps ErrUnavailable but not ErrUncertain means that nothing was written.
 type Store interface {
-	// Get returns the entry of key, or ErrNotFound.
+	// Get returns the entry of key. With ErrNotFound it returns an entry that has only an
+	// epoch.
 	Get(ctx context.Context, key string) (Entry, error)
 	// List returns the entries whose keys start with prefix, in key order.
 	List(ctx context.Context, prefix string) ([]Entry, error)
@@ -22,9 +23,13 @@
 	// returns the current entry (zero if there is none) and ErrConflict.
 	// A key written with a ttl above zero expires unless it is written again
 	// within ttl; with ttl 0 it never expires. Revisions are store-wide, increase
-	// and are never reused, so the revision of a key that is used as a lease
-	// serves as the lease's fencing token.
+	// and are never reused within an epoch, so the revision of a key that is used as a
+	// lease serves as the lease's fencing token.
 	CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (Entry, error)
+	// CompareAndSwapInEpoch is like CompareAndSwap, and returns ErrConflict too if the
+	// store is in another epoch; its zero entry for a missing key has the epoch then.
+	// Epoch 0 is no condition.
+	CompareAndSwapInEpoch(ctx context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (Entry, error)
 	// Delete removes key if its revision is prev, otherwise it returns ErrConflict.
 	Delete(ctx context.Context, key string, prev uint64) error
 	// Watch waits until the key's revision differs from after and returns the
@@ -39,6 +44,10 @@
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
 	Revision uint64 `json:"revision"`
+	// Epoch is that of the store in the response: it rises each time that the store comes
+	// back from an older copy, and revisions are given out again. It is 0 if the store
+	// names none.
+	Epoch int64 `json:"-"`
 }
 
 // MaxValueBytes is the largest value that the store accepts.
--- a/internal/standin/memstore.go
+++ b/internal/standin/memstore.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	entries  map[string]*storedEntry // by key; expired ones stay until they are read
 	revision uint64                  // of the last write
+	epoch    int64                   // rises with each restore
 	changed  chan struct{}           // closed and replaced at each change
 	faults   storeFaults
 	calls    StoreCalls
@@ -66,7 +67,7 @@
 	if clock == nil {
 		clock = port.SystemClock{}
 	}
-	return &MemStore{clock: clock, entries: make(map[string]*storedEntry), changed: make(chan struct{})}
+	return &MemStore{clock: clock, entries: make(map[string]*storedEntry), epoch: 1, changed: make(chan struct{})}
 }
 
 var errStoreOutage = errors.Wrap(port.ErrUnavailable, "standin: outage")
@@ -80,9 +81,9 @@
 	defer m.mu.Unlock()
 	s := m.liveLocked(key)
 	if s == nil {
-		return port.Entry{}, port.ErrNotFound
+		return port.Entry{Epoch: m.epoch}, port.ErrNotFound
 	}
-	return s.entry, nil
+	return m.inEpochLocked(s.entry), nil
 }
 
 // List implements port.Store.
@@ -95,7 +96,7 @@
 	var out []port.Entry
 	for key := range m.entries {
 		if s := m.liveLocked(key); s != nil && strings.HasPrefix(key, prefix) {
-			out = append(out, s.entry)
+			out = append(out, m.inEpochLocked(s.entry))
 		}
 	}
 	slices.SortFunc(out, func(a, b port.Entry) int { return strings.Compare(a.Key, b.Key) })
@@ -104,13 +105,19 @@
 
 // CompareAndSwap implements port.Store.
 func (m *MemStore) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	return m.CompareAndSwapInEpoch(ctx, 0, key, prev, value, ttl)
+}
+
+// CompareAndSwapInEpoch implements port.Store.
+func (m *MemStore) CompareAndSwapInEpoch(ctx context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	if len(value) > port.MaxValueBytes {
 		return port.Entry{}, errors.New("standin: value too large")
 	}
 	var got port.Entry
 	err := m.write(ctx, func(c *StoreCalls) { c.CompareAndSwaps++ }, func() error {
 		var err error
-		got, err = m.compareAndSwapLocked(key, prev, value, ttl)
+		got, err = m.compareAndSwapLocked(epoch, key, prev, value, ttl)
+		got = m.inEpochLocked(got)
 		return err
 	})
 	if errors.Is(err, port.ErrUnavailable) {
@@ -119,7 +126,13 @@
 	return got, err
 }
 
-func (m *MemStore) compareAndSwapLocked(key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+// inEpochLocked returns the entry with the store's epoch.
+func (m *MemStore) inEpochLocked(e port.Entry) port.Entry {
+	e.Epoch = m.epoch
+	return e
+}
+
+func (m *MemStore) compareAndSwapLocked(epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	s := m.liveLocked(key)
 	if s == nil && prev != 0 {
 		return port.Entry{}, port.ErrConflict
@@ -127,6 +140,12 @@
 	if s != nil && s.entry.Revision != prev {
 		return s.entry, port.ErrConflict
 	}
+	if epoch != 0 && epoch != m.epoch {
+		if s == nil {
+			return port.Entry{}, port.ErrConflict
+		}
+		return s.entry, port.ErrConflict
+	}
 	m.revision++
 	s = &storedEntry{entry: port.Entry{Key: key, Value: slices.Clone(value), Revision: m.revision}}
 	if ttl > 0 {
@@ -179,10 +198,10 @@
 	}
 	s := m.liveLocked(key)
 	if s == nil {
-		return port.Entry{}, after != 0, m.changed, 0, nil
+		return m.inEpochLocked(port.Entry{}), after != 0, m.changed, 0, nil
 	}
 	if s.entry.Revision != after {
-		return s.entry, true, nil, 0, nil
+		return m.inEpochLocked(s.entry), true, nil, 0, nil
 	}
 	var untilExpiry time.Duration
 	if !s.expiresAt.IsZero() {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -23,6 +23,8 @@
 //	PUT    /v1/kv/{key}?prev=REV&ttl_ms=N      200 entry, 409 current entry
 //	DELETE /v1/kv/{key}?prev=REV               204, 409
 //
+// Responses with entries, and those to reads and writes of a key, have the header
+// Store-Epoch. A PUT with epoch=N gets 409 in another epoch.
 // 400 means a malformed request; 429 and 503 mean that nothing was done. A write
 // with an unknown outcome aborts the connection. Values are base64 in JSON
 // responses and raw in PUT bodies.
@@ -45,6 +47,9 @@
 
 func (s *Store) handleList(w http.ResponseWriter, r *http.Request) {
 	entries, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
+	if len(entries) > 0 {
+		setEpoch(w, entries[0])
+	}
 	if err != nil {
 		writeStoreError(w, err)
 		return
@@ -58,6 +63,7 @@
 		return
 	}
 	entry, err := s.Get(r.Context(), r.PathValue("key"))
+	setEpoch(w, entry)
 	if err != nil {
 		writeStoreError(w, err)
 		return
@@ -75,6 +81,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxWatchWait))
 	defer cancel()
 	entry, err := s.Watch(ctx, r.PathValue("key"), after)
+	setEpoch(w, entry)
 	if err != nil {
 		writeStoreError(w, err)
 		return
@@ -85,12 +92,14 @@
 func (s *Store) handlePut(w http.ResponseWriter, r *http.Request) {
 	prev, err1 := queryUint(r, "prev")
 	ttl, err2 := queryUint(r, "ttl_ms")
-	value, err3 := io.ReadAll(http.MaxBytesReader(w, r.Body, port.MaxValueBytes))
-	if err1 != nil || err2 != nil || err3 != nil {
+	epoch, err3 := queryUint(r, "epoch")
+	value, err4 := io.ReadAll(http.MaxBytesReader(w, r.Body, port.MaxValueBytes))
+	if err1 != nil || err2 != nil || err3 != nil || err4 != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	entry, err := s.CompareAndSwap(r.Context(), r.PathValue("key"), prev, value, time.Duration(ttl)*time.Millisecond)
+	entry, err := s.CompareAndSwapInEpoch(r.Context(), int64(epoch), r.PathValue("key"), prev, value, time.Duration(ttl)*time.Millisecond)
+	setEpoch(w, entry)
 	if errors.Is(err, port.ErrConflict) {
 		writeJSON(w, http.StatusConflict, entry)
 		return
@@ -115,6 +124,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// setEpoch adds the epoch in which the entry was read or written.
+func setEpoch(w http.ResponseWriter, entry port.Entry) {
+	if entry.Epoch != 0 {
+		w.Header().Set("Store-Epoch", strconv.FormatInt(entry.Epoch, 10))
+	}
+}
+
 // queryUint returns a query parameter, 0 if it is missing.
 func queryUint(r *http.Request, name string) (uint64, error) {
 	text := r.URL.Query().Get(name)
--- a/internal/testbed/crash.go
+++ b/internal/testbed/crash.go
@@ -144,10 +144,15 @@
 
 // CompareAndSwap implements port.Store.
 func (s *disconnectableStore) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	return s.CompareAndSwapInEpoch(ctx, 0, key, prev, value, ttl)
+}
+
+// CompareAndSwapInEpoch implements port.Store.
+func (s *disconnectableStore) CompareAndSwapInEpoch(ctx context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	if err := s.checkReachable(); err != nil {
 		return port.Entry{}, err
 	}
-	return s.inner.CompareAndSwap(ctx, key, prev, value, ttl)
+	return s.inner.CompareAndSwapInEpoch(ctx, epoch, key, prev, value, ttl)
 }
 
 // Delete implements port.Store.
