--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -27,7 +27,7 @@
 		l.scope.Tagged(map[string]string{"call": string(a.Call)}).Counter("endpoint_responses_discarded_total").Inc(1)
 	case a.AttemptID == "":
 		connection := "new"
-		if a.Arrival.Before+a.Arrival.Discarded > 0 {
+		if !a.Arrival.First() {
 			connection = "kept"
 		}
 		l.scope.Tagged(map[string]string{"call": string(a.Call), "connection": connection, "refusal": strconv.FormatBool(a.NotRun)}).Counter("endpoint_responses_unnamed_total").Inc(1)
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -16,6 +16,9 @@
 	ConnectionAge time.Duration
 }
 
+// First reports whether the response is the first one on its connection.
+func (a Arrival) First() bool { return a.Before == 0 && a.Discarded == 0 }
+
 // String describes the arrival for an error message.
 func (a Arrival) String() string {
 	return fmt.Sprintf("connection had carried %d responses before the call, %d discarded since", a.Before, a.Discarded)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 )
 
@@ -206,6 +208,10 @@
 	Failure PieceFailure
 }
 
+// ErrOnlyStrayAnswer means that an endpoint sent a response that may belong to another call, and
+// no other: it is reachable, but its report is not known.
+var ErrOnlyStrayAnswer = errors.New("endpoint sent only a response that may belong to another call")
+
 // EndpointClient sends requests to endpoints. Implementations are safe for
 // concurrent use. Errors other than those of read are of type *verdict.Error,
 // with NotRun if the endpoint cannot have started the work.
@@ -223,7 +229,8 @@
 	FreeResults(ctx context.Context, e *catalog.Endpoint, handles []string) error
 	// Probe requests the endpoint's report, on a new connection if fresh is set.
 	// Any response shows that the endpoint is reachable, so it is not an error if
-	// the response carries no report.
+	// the response carries no report. The error wraps ErrOnlyStrayAnswer if the only
+	// response may belong to another call.
 	Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (EndpointReport, error)
 	// ObserveNotices has observe called with what each response of an endpoint says about
 	// it, unless that is nothing. Calls may be concurrent. It must be called before the
--- a/internal/relay/carried.go
+++ b/internal/relay/carried.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -128,7 +129,7 @@
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	report, err := c.cfg.Direct.Probe(probeCtx, e, false)
-	if err != nil {
+	if err != nil && (r.Report || !errors.Is(err, port.ErrOnlyStrayAnswer)) {
 		return cbor.Marshal(callReply{Failure: refuse(verdict.CodeEndpointFailed, err.Error())})
 	}
 	c.recordResponse(e)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,6 +96,8 @@
 	port.EndpointClient
 	// lost means that this host has no path to the endpoint.
 	lost bool
+	// stray means that probes are answered by a response that may belong to another call.
+	stray bool
 	// rest is how long the endpoint has asked this host for rest.
 	rest time.Duration
 	// forward responds to exchanges.
@@ -117,6 +119,9 @@
 	if f.lost {
 		return port.EndpointReport{}, unreached()
 	}
+	if f.stray {
+		return port.EndpointReport{FreeBytes: -1}, verdict.Wrap(port.ErrOnlyStrayAnswer, verdict.CodeEndpointFailed, verdict.NotRun, "no report")
+	}
 	return port.EndpointReport{FreeBytes: 7}, nil
 }
 
--- /dev/null
+++ b/internal/relay/stray_test.go
@@ -0,0 +1,24 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentorill/pimentorill/internal/port"
+)
+
+// TestStrayAnswerAtACarrierIsNoReport guards against free storage that is no longer measured: the
+// carrier's report was taken for one of an endpoint that makes none. The endpoint still responds.
+func TestStrayAnswerAtACarrierIsNoReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, respond(nil))
+		f.direct[1].stray = true
+		is.NoErr(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint))
+		report, err := f.clients[0].Probe(t.Context(), f.endpoint, false)
+		is.True(err != nil)
+		is.Equal(report, port.EndpointReport{FreeBytes: -1})
+	})
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -124,7 +124,7 @@
 // earlier versions also pass on refusals that name no attempt and came on a connection that had
 // carried other responses: these may belong to another attempt.
 func (h *responseHead) decode(carrier string, body io.Reader) *port.EndpointResponse {
-	first := h.Arrival != nil && h.Arrival.Before == 0 && h.Arrival.Discarded == 0
+	first := h.Arrival != nil && h.Arrival.First()
 	notRun := h.NotRun && (h.HasAttemptID || first)
 	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: notRun, Misdirected: h.Misdirected, Signed: h.Signed,
 		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
