Say what a response is that may belong to another call

Seen: an answer without an id that ended a request as possibly run was logged and counted as "response to another call discarded", so that an operator looked for an endpoint that repeats answers, where it may as well have refused the request in progress.

Cause: httpcall reported MatchOther and MatchUnknown alike.

Change: Call.Discarded tells which; such a response has a line ("response that may belong to another call ended its connection") and a counter (pimentorill_endpoint_responses_ambiguous_total) of its own, for requests, probes and calls that free results.

--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -154,9 +154,9 @@
 	Read func(*fasthttp.Response) error
 	// Arrival, unless nil, is set before Matches and Read are called.
 	Arrival *port.Arrival
-	// Discarded, unless nil, is called with the header of each response to another call. Arrival
-	// is that of the response.
-	Discarded func(*fasthttp.Response)
+	// Discarded, unless nil, is called with the header of each response for which Matches returns
+	// MatchOther or MatchUnknown, or Read ErrOtherCall. Arrival is that of the response.
+	Discarded func(*fasthttp.Response, Match)
 }
 
 // Match says whether a response belongs to a call.
@@ -261,9 +261,10 @@
 			if !errors.Is(err, ErrOtherCall) {
 				return reusable, err
 			}
+			match = MatchOther
 		}
 		if call.Discarded != nil {
-			call.Discarded(resp)
+			call.Discarded(resp, match)
 		}
 		if match == MatchUnknown {
 			return false, ErrAmbiguousResponse
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -20,11 +20,15 @@
 // observe implements port.EndpointClient's observer of answers.
 func (l answerLog) observe(e *catalog.Endpoint, a port.EndpointAnswer) {
 	switch {
-	case a.OtherCall:
-		l.log.Info("response to another call discarded", slog.String("call", string(a.Call)), slog.String("request", a.Request),
+	case a.OtherCall, a.Ambiguous:
+		message, counter := "response to another call discarded", "endpoint_responses_discarded_total"
+		if a.Ambiguous {
+			message, counter = "response that may belong to another call ended its connection", "endpoint_responses_ambiguous_total"
+		}
+		l.log.Info(message, slog.String("call", string(a.Call)), slog.String("request", a.Request),
 			slog.String("endpoint", e.ID), slog.Int("answer_status", a.Status), slog.String("answer_attempt", a.AttemptID), slog.Bool("refusal", a.NotRun),
 			slog.Int("connection_answers", a.Arrival.Before), slog.Int("answers_discarded", a.Arrival.Discarded), slog.Int64("connection_ms", a.Arrival.ConnectionAge.Milliseconds()))
-		l.scope.Tagged(map[string]string{"call": string(a.Call)}).Counter("endpoint_responses_discarded_total").Inc(1)
+		l.scope.Tagged(map[string]string{"call": string(a.Call)}).Counter(counter).Inc(1)
 	case a.AttemptID == "":
 		connection := "new"
 		if !a.Arrival.First() {
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -28,12 +28,16 @@
 	l.observe(e, port.EndpointAnswer{Call: port.CallProbe, Status: 200, Arrival: port.Arrival{Discarded: 1}})
 	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a5", Status: 200, AttemptID: "a5"})
 	is.Equal(strings.Count(lines.String(), "\n"), 1)
+	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a6", Status: 503, NotRun: true, Ambiguous: true, Arrival: port.Arrival{Before: 2}})
+	is.True(strings.Contains(lines.String(), `msg="response that may belong to another call ended its connection" call=forward request=a6 endpoint=e1 answer_status=503 answer_attempt="" refusal=true connection_answers=2`))
+	is.Equal(strings.Count(lines.String(), "\n"), 2)
 	counters := make(map[string]int64)
 	for name, c := range scope.Snapshot().Counters() {
 		counters[name] = c.Value()
 	}
 	is.Equal(counters, map[string]int64{
 		"endpoint_responses_discarded_total+call=forward":                            1,
+		"endpoint_responses_ambiguous_total+call=forward":                            1,
 		"endpoint_responses_unnamed_total+call=forward,connection=new,refusal=true":  1,
 		"endpoint_responses_unnamed_total+call=forward,connection=kept,refusal=true": 1,
 		"endpoint_responses_unnamed_total+call=probe,connection=kept,refusal=false":  1,
