--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -16,6 +16,9 @@
 	ConnectionAge time.Duration
 }
 
+// First reports whether the response is the first one on its connection.
+func (a Arrival) First() bool { return a.Before == 0 && a.Discarded == 0 }
+
 // String describes the arrival for an error message.
 func (a Arrival) String() string {
 	return fmt.Sprintf("connection had carried %d responses before the call, %d discarded since", a.Before, a.Discarded)
@@ -44,5 +47,8 @@
 	NotRun bool
 	// OtherCall means that the response was found to belong to another call and discarded.
 	OtherCall bool
+	// Ambiguous means that the response may belong to the call or to another one. It ended the
+	// call, and its connection was closed.
+	Ambiguous bool
 	Arrival   Arrival
 }
