Tell the candidates for a zone's lease when it is released

What callers saw: requests without a permit for cold endpoints while hosts are replaced in turn, in the worst case until their deadline (TestRollingRestartUnderLoad).

Cause: a candidate finds a released lease free at its next read, up to a second later while it knows that the holder is leaving and up to five if it doesn't, and acquires it another 250 ms later. With a host replaced each 0.1 to 1 s, the zones are without a holder most of the time.

Change: a host that has released its zone's lease says so to the three candidates, which read it at once; the write that acquires a free lease follows the read without a pause. A notice during a read makes another read due. A candidate that misses the notice reads as before.

TestStoppingHostHandsItsLeaseOver fails before (no holder 10 ms after the release) and passes after, in 10 phases of the candidate's reads. TestNoticeOfAReleaseDuringAReadIsNotLost covers the notice during a read.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -210,7 +210,7 @@
 		Self: t.Self(), Members: t.Members(now), NotGoneCount: t.CountNotGone(), ZoneNotGoneIDs: t.ZoneHostsNotGone(),
 		UnreachableZones: t.UnreachableZones(),
 		WatchesStore:     t.IsSelected("watch", membership.WatchersPerZone),
-		LeaseRank:        slices.Index(t.SelectHosts(t.Self().AvailabilityZone, "lease", membership.CandidatesPerLease), t.Self().ID),
+		LeaseRank:        slices.Index(t.SelectHosts(t.Self().AvailabilityZone, membership.LeasePurpose, membership.CandidatesPerLease), t.Self().ID),
 		OtherZones:       t.OtherZones(),
 		addresses:        make(map[string]string),
 	}
@@ -272,12 +272,17 @@
 	f.enqueue(func(time.Time) { f.agent.Table().ApplyHostList(list) })
 }
 
-// Leave announces to the other hosts that this one is leaving. It returns when the
-// messages are handed to the transport, for which Run must be running, or ctx ends.
+// Leave announces to the other hosts that this one is leaving. It returns like Flush.
 func (f *Fleet) Leave(ctx context.Context) {
+	f.enqueue(func(now time.Time) { f.agent.Leave(now) })
+	f.Flush(ctx)
+}
+
+// Flush pushes the records published before it to other hosts. It returns when the
+// messages are handed to the transport, for which Run must be running, or ctx ends.
+func (f *Fleet) Flush(ctx context.Context) {
 	done := make(chan struct{})
 	f.enqueue(func(now time.Time) {
-		f.agent.Leave(now)
 		f.send(f.agent.Step(now))
 		f.updateView(now)
 		close(done)
--- a/internal/app/orders_test.go
+++ b/internal/app/orders_test.go
@@ -25,13 +25,15 @@
 type orderTestBed struct {
 	// hostLeaving is Deps.HostLeaving of the candidates; may be nil.
 	hostLeaving func(host string) bool
-	t           *testing.T
-	engines     []*standin.Engine
-	direct      *standin.Direct
-	mu          sync.Mutex
-	release     *release.Release
-	audit       []port.AuditRecord
-	fence       uint64 // fencing token of the latest lease
+	// peers returns the Deps.Peers of a candidate; nil means none.
+	peers   func(host string) port.Peers
+	t       *testing.T
+	engines []*standin.Engine
+	direct  *standin.Direct
+	mu      sync.Mutex
+	release *release.Release
+	audit   []port.AuditRecord
+	fence   uint64 // fencing token of the latest lease
 }
 
 // orderHost is a host with its own view of the lease, which may be outdated. stop
--- a/internal/app/zonelease.go
+++ b/internal/app/zonelease.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/lease"
+	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/order"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -24,6 +25,11 @@
 	// maxReleaseCalls bounds the calls to the store with which a stopping host
 	// releases the lease.
 	maxReleaseCalls = 3
+	// kindLeaseReleased is the kind of the message with which a host tells a candidate
+	// for its zone's lease that it has released it.
+	kindLeaseReleased = "lease.released"
+	// releaseNoticeTimeout bounds how long a stopping host waits for the responses.
+	releaseNoticeTimeout = 300 * time.Millisecond
 )
 
 // zoneLease acquires and renews the zone's lease while this host is a candidate
@@ -36,6 +42,8 @@
 	// onChange is called when the host has acquired or lost the lease; may be nil. It
 	// must not block.
 	onChange func()
+	// released makes run read the lease at once.
+	released wake
 
 	mu      sync.Mutex
 	elector *lease.Elector // guarded by mu
@@ -51,9 +59,10 @@
 		return
 	}
 	key := lease.Key(a.cfg.AvailabilityZone, zoneLeasePurpose)
-	a.lease = &zoneLease{app: a, elector: lease.NewElector(a.cfg.Host, key, a.deps.NewID)}
+	a.lease = &zoneLease{app: a, elector: lease.NewElector(a.cfg.Host, key, a.deps.NewID), released: newWake()}
 	if a.deps.Peers != nil {
 		a.deps.ZoneLease = a.lease.held
+		a.deps.Peers.Handle(kindLeaseReleased, a.lease.handleReleased)
 	}
 }
 
@@ -75,12 +84,22 @@
 		return
 	}
 	for ctx.Err() == nil {
-		z.makeDueCall(ctx, z.app.deps.LeaseRank())
+		rank := z.app.deps.LeaseRank()
+		if z.makeDueCall(ctx, rank) && z.acquisitionDue(rank) {
+			z.makeDueCall(ctx, rank)
+		}
 		z.recordChange(z.held(z.app.deps.Clock.Now()).Fence)
-		port.Sleep(ctx, leaseCheckInterval)
+		z.released.sleep(ctx, leaseCheckInterval)
 	}
 }
 
+// acquisitionDue reports whether the host may acquire the lease now.
+func (z *zoneLease) acquisitionDue(rank int) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.elector.AcquisitionDue(z.app.deps.Clock.Now(), rank)
+}
+
 // makeDueCall makes the call to the store that is due, if any, and reports whether
 // there was one. rank is as returned by Deps.LeaseRank.
 func (z *zoneLease) makeDueCall(ctx context.Context, rank int) bool {
@@ -119,12 +138,13 @@
 }
 
 // release deletes the lease from the store, so that the next holder need not wait
-// until it expires. Call it after run has returned.
+// until it expires, and tells the candidates so. Call it after run has returned.
 func (z *zoneLease) release() {
 	if z == nil {
 		return
 	}
 	z.mu.Lock()
+	held := z.elector.Revision() > 0
 	z.elector.Release(z.app.deps.Clock.Now())
 	z.mu.Unlock()
 	for range maxReleaseCalls {
@@ -133,6 +153,44 @@
 		}
 	}
 	z.recordChange(0)
+	if held {
+		z.notifyCandidates()
+	}
+}
+
+// notifyCandidates tells the hosts that may acquire the lease that it is free, and waits
+// for their responses up to releaseNoticeTimeout. A host that does not receive it finds
+// the lease free at its next read.
+func (z *zoneLease) notifyCandidates() {
+	peers := z.app.deps.Peers
+	if peers == nil {
+		return
+	}
+	var ids []string
+	for _, m := range peers.Members() {
+		if m.State == port.MemberLive && m.AvailabilityZone == z.app.cfg.AvailabilityZone && m.ID != z.app.cfg.Host {
+			ids = append(ids, m.ID)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseNoticeTimeout)
+	defer cancel()
+	var asks sync.WaitGroup
+	for _, id := range membership.SelectByRendezvous(ids, membership.LeasePurpose, membership.CandidatesPerLease) {
+		asks.Go(func() { _, _ = peers.Ask(ctx, id, kindLeaseReleased, nil) })
+	}
+	asks.Wait()
+}
+
+// handleReleased handles the message of the zone's lease holder that it has released the
+// lease.
+func (z *zoneLease) handleReleased(_ context.Context, from port.Member, _ []byte) ([]byte, error) {
+	if from.AvailabilityZone == z.app.cfg.AvailabilityZone {
+		z.mu.Lock()
+		z.elector.HolderReleased(z.app.deps.Clock.Now())
+		z.mu.Unlock()
+		z.released.Signal()
+	}
+	return []byte{1}, nil
 }
 
 // recordChange logs and audits an acquisition or a loss of the lease, and calls
--- a/internal/app/zonelease_test.go
+++ b/internal/app/zonelease_test.go
@@ -33,6 +33,9 @@
 		NewID:     func() string { return fmt.Sprint("id-", ids.Add(1)) },
 		LeaseRank: func() int { return rank }, HostLeaving: b.hostLeaving,
 	}}
+	if b.peers != nil {
+		a.deps.Peers = b.peers(name)
+	}
 	a.initZoneLease()
 	go a.lease.run(ctx)
 	stopLoop := b.startHostWithLease(name, b.direct, a.lease.held)
@@ -126,3 +129,50 @@
 		synctest.Wait()
 	})
 }
+
+// zonePeers connects the hosts of one zone. Each is a live member of it.
+type zonePeers struct{ fakePeers }
+
+func (p *zonePeers) Self() port.Member { return port.Member{ID: p.id, AvailabilityZone: "kranj"} }
+
+func (p *zonePeers) Members() []port.Member {
+	members := p.fakePeers.Members()
+	for i := range members {
+		members[i].AvailabilityZone = "kranj"
+	}
+	return members
+}
+
+func (p *zonePeers) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
+	return p.handlers[host][kind](ctx, p.Self(), payload)
+}
+
+// Guards against a zone without a lease holder, and so without permits for its cold
+// endpoints, until the next read of a candidate after a graceful release: a second and
+// more for each replaced host, in which requests waited at each of their stages.
+func TestStoppingHostHandsItsLeaseOver(t *testing.T) {
+	for phase := range 10 { // of the candidate's reads
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var ids atomic.Int64
+			store := standin.NewMemStore(nil)
+			b := newOrderTestBed(t, 4, false, standin.EngineConfig{LoadTime: time.Second})
+			b.hostLeaving = func(string) bool { return false } // the gossip is late
+			handlers := map[string]map[string]handler{"h1": {}, "h2": {}}
+			b.peers = func(name string) port.Peers { return &zonePeers{fakePeers{id: name, handlers: handlers}} }
+			h1 := b.startCandidate("h1", 0, store, &ids)
+			<-time.After(time.Second)
+			h2 := b.startCandidate("h2", 0, store, &ids)
+			<-time.After(20*time.Second + time.Duration(phase)*500*time.Millisecond)
+			is.True(h1.holdsLease())
+			h1.stop()
+			synctest.Wait()
+			h1.app.lease.release()
+			<-time.After(10 * time.Millisecond)
+			is.True(h2.holdsLease())
+			<-time.After(5 * time.Second) // its orders end
+			h2.stop()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -102,7 +102,10 @@
 	// there is none.
 	uncertainWrite *Call
 	inFlight       bool
-	nextCallAt     time.Time
+	// readAgain is set by HolderReleased while a call is in flight, whose result may be
+	// older than the release.
+	readAgain  bool
+	nextCallAt time.Time
 	// backoff is the delay after the last failed call, 0 if the last call succeeded.
 	backoff time.Duration
 	// lastReadAt is when the lease was last read, zero before.
@@ -169,7 +172,7 @@
 		call = e.newWriteCall(now, e.revision, e.lease.Fence)
 	case rank < 0:
 		return Call{}, false
-	case !e.freeSince.IsZero() && now.Sub(e.freeSince) >= time.Duration(rank)*acquireDelayPerRank:
+	case e.AcquisitionDue(now, rank):
 		call = e.newWriteCall(now, 0, 0)
 	default:
 		call.Operation = Read
@@ -178,6 +181,12 @@
 	return call, true
 }
 
+// AcquisitionDue reports whether a host with this rank, as of NextCall, may acquire the
+// lease now, because it was found free.
+func (e *Elector) AcquisitionDue(now time.Time, rank int) bool {
+	return rank >= 0 && !e.freeSince.IsZero() && now.Sub(e.freeSince) >= time.Duration(rank)*acquireDelayPerRank
+}
+
 // newWriteCall returns the call that acquires the lease, with prev and fence 0, or
 // renews it.
 func (e *Elector) newWriteCall(now time.Time, prev, fence uint64) Call {
@@ -200,6 +209,16 @@
 	}
 }
 
+// HolderReleased makes the next read of the lease due, because its holder says that it has
+// released it.
+func (e *Elector) HolderReleased(now time.Time) {
+	if e.revision > 0 || e.releasing {
+		return
+	}
+	e.nextCallAt = now
+	e.readAgain = e.inFlight
+}
+
 // HandleResult applies the result of a call: the entry and the error as the store
 // returned them.
 func (e *Elector) HandleResult(now time.Time, call Call, entry port.Entry, err error) {
@@ -217,6 +236,10 @@
 	case Read:
 		e.handleReadResult(now, entry, err)
 	}
+	if e.readAgain && e.revision == 0 {
+		e.nextCallAt = now
+	}
+	e.readAgain = false
 }
 
 // handleUnavailable sets the backoff after a call that the store did not complete.
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -248,3 +248,25 @@
 		now = write.SentAt.Add(renewInterval)
 	}
 }
+
+// Guards against a release that a candidate notices only a poll interval later: the notice
+// arrives while a read that was answered before the release is on its way back.
+func TestNoticeOfAReleaseDuringAReadIsNotLost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	e := NewElector("h2", "lease/z/control", func() string { return "n" })
+	read, due := e.NextCall(now, 0)
+	is.True(due)
+	e.HolderReleased(now)
+	e.HandleResult(now, read, port.Entry{Key: read.Key, Value: []byte(`{"host":"h1"}`), Revision: 3}, nil)
+	read, due = e.NextCall(now, 0)
+	is.True(due)
+	is.Equal(read.Operation, Read)
+	e.HandleResult(now, read, port.Entry{}, port.ErrNotFound)
+	is.True(e.AcquisitionDue(now, 0))
+	is.True(!e.AcquisitionDue(now, 1))
+	is.True(!e.AcquisitionDue(now, -1))
+	acquire, due := e.NextCall(now, 0)
+	is.True(due)
+	is.Equal(acquire.Operation, Write)
+}
--- a/internal/core/membership/views.go
+++ b/internal/core/membership/views.go
@@ -35,7 +35,7 @@
 	return out
 }
 
-// SelectHosts selects n of a zone's hosts for a purpose, such as "lease" or
+// SelectHosts selects n of a zone's hosts for a purpose, such as LeasePurpose or
 // relayPurpose, by rendezvous hashing (SelectByRendezvous) and returns their ids.
 // Only live hosts that are not suspect are selected; if there are fewer than n,
 // it returns all of them.
@@ -58,7 +58,11 @@
 	return slices.Contains(t.SelectHosts(t.self.AvailabilityZone, purpose, n), t.self.ID)
 }
 
-const relayPurpose = "relay"
+const (
+	// LeasePurpose is the purpose for which a zone's candidates for its lease are selected.
+	LeasePurpose = "lease"
+	relayPurpose = "relay"
+)
 
 // IsRelay implements spread.Directory.
 func (t *Table) IsRelay() bool { return slices.Contains(t.currentViews().ownRelays, t.self.ID) }
