Keep the gossip running while a stopping host hands its lease over

What callers saw: requests that wait for a permit of an endpoint that is warm.

Cause: a stopping host ended all its loops at once. The lease holder took permits back for up to a second then and found endpoints warm, but its gossip had ended: no host got the status. They took the endpoint for cold and asked the holder that was gone.

Evidence, from the hosts' log: entry-1 ends its lease 17 ms after it found retrievers-ljubljana-1 warm; entry-7 and entry-10 don't receive that, and ask entry-1 for permits of it 0.2 and 0.34 s after it has stopped.

Change: the loops of the lease's duties end first; then the lease is released and the last records are pushed to other hosts; the other loops end last.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -123,6 +123,11 @@
 	cancelRun context.CancelFunc
 	// loopsDone is closed when all functions of loops have returned.
 	loopsDone chan struct{}
+	// zoneCtx ends before runCtx if the host hands its zone's lease over; cancelZone
+	// ends it. zoneLoops counts the loops of the lease's duties.
+	zoneCtx    context.Context
+	cancelZone context.CancelFunc
+	zoneLoops  sync.WaitGroup
 }
 
 // New returns an App that is not running, and registers its handlers and
@@ -155,6 +160,7 @@
 		loopsDone:      make(chan struct{}),
 	}
 	a.runCtx, a.cancelRun = context.WithCancel(context.Background())
+	a.zoneCtx, a.cancelZone = context.WithCancel(a.runCtx)
 	a.bookStore = cost.NewBookStore(deps.Store, deps.Clock, a.ledger, deps.NewID)
 	if deps.Peers != nil {
 		deps.Peers.Handle(kindCostBook, a.handleBookRequest)
@@ -189,27 +195,28 @@
 	for _, loop := range a.loops() {
 		loops.Go(func() { loop(ctx) })
 	}
+	for _, loop := range []func(context.Context){a.orders.Run, a.lease.run, a.dataPlane.permits.run} {
+		a.zoneLoops.Go(func() { loop(a.zoneCtx) })
+	}
 	go func() {
 		defer close(a.loopsDone)
 		loops.Wait()
+		a.zoneLoops.Wait()
 	}()
 }
 
 // loops returns the functions that run until the host stops, each on a
-// goroutine of its own.
+// goroutine of its own. Those of the zone's lease run besides.
 func (a *App) loops() []func(context.Context) {
 	return []func(context.Context){
 		a.runFleet,
 		a.followRelease,
 		a.settleCosts,
 		a.followCacheEvents,
-		a.orders.Run,
-		a.lease.run,
 		a.maintainBooks,
 		a.probeLeaving,
 		a.followHostList,
 		a.reportGauges,
-		a.dataPlane.permits.run,
 		a.dataPlane.maintainLimits,
 	}
 }
@@ -232,7 +239,7 @@
 // Stop announces to the other hosts that this one is leaving, refuses new requests,
 // waits up to the drain timeout for those in progress and interrupts the others. It
 // stores the outcomes of runs with an idempotency key, as far as that takes no longer
-// than outcomeFlushTimeout, ends the App's loops, releases the zone's lease and writes
+// than outcomeFlushTimeout, hands the zone's lease over, ends the App's loops and writes
 // the cost book. Attempts that outlast finalSettleTimeout may still run when it
 // returns. It returns the number of interrupted requests. Call it once, after Start,
 // and not together with Kill.
@@ -244,12 +251,26 @@
 		a.deps.Log.Warn("drain timeout exceeded", slog.Int("requests_cut_off", remaining))
 	}
 	a.claims.Flush(outcomeFlushTimeout)
+	a.handOverLease()
 	a.shutDown()
-	a.lease.release()
 	a.finalizeBook()
 	return remaining
 }
 
+// handOverLease ends the duties of the zone's lease holder and releases the lease. The
+// gossip still runs: the other hosts get the last statuses of endpoints, without which
+// they would take warm endpoints for cold and ask a holder that is gone.
+func (a *App) handOverLease() {
+	a.cancelZone()
+	a.zoneLoops.Wait()
+	a.lease.release()
+	if a.deps.Fleet != nil {
+		ctx, cancel := context.WithTimeout(a.runCtx, leaveBroadcastTimeout)
+		defer cancel()
+		a.deps.Fleet.Flush(ctx)
+	}
+}
+
 // Kill ends the App's loops and all requests at once, to simulate a crash of the
 // process. Unlike Stop it neither announces that the host is leaving nor stores
 // pending outcomes nor releases the lease nor writes the cost book. Call it once,
--- a/internal/app/coldfleet_test.go
+++ b/internal/app/coldfleet_test.go
@@ -1,10 +1,13 @@
 package app_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -74,3 +77,34 @@
 		check(p.Stats())
 	}
 }
+
+// Guards against a warm endpoint that the hosts take for cold, and send no request without
+// a permit, because the lease holder that found it warm stopped before it had told them.
+func TestStoppingLeaseHolderPassesItsLastStatusesOn(t *testing.T) {
+	fleet := testbed.DefaultFleet
+	fleet.Zones = fleet.Zones[:1]
+	fleet.StartsWarm = false
+	fleet.WorkTime = 300 * time.Millisecond
+	bed := testbed.Start(t, testbed.Config{Fleet: fleet, Hosts: 3})
+	holder := bed.Hosts[0].App().Status().LeaseHolders[fleet.Zones[0]]
+	i := slices.IndexFunc(bed.Hosts, func(d *daemon.Daemon) bool { return d.App().Status().Host == holder })
+	other, third := bed.Hosts[(i+1)%3].App(), bed.Hosts[(i+2)%3].App()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		_, _ = other.Run(ctx, app.RunRequest{Customer: testbed.Customer, Pipeline: standin.PipelineGuidebook, Input: json.RawMessage(`1`)})
+	}()
+	endpoint := ""
+	testbed.Until(t, "the first stage's endpoint has a call", func() bool {
+		for id, p := range bed.Fleet.Pools {
+			if p.Stats().MaxColdCalls > 0 {
+				endpoint = id
+			}
+		}
+		return endpoint != ""
+	})
+	bed.Stop(i) // takes the permit back and finds the endpoint warm
+	testbed.Until(t, "the third host knows that the endpoint is warm", func() bool {
+		return !slices.Contains(third.Status().ColdEndpoints, endpoint)
+	})
+}
