Refuse requests on a new host until it has caught up with the others

What callers saw: a request to a host that had just started waited at cold endpoints and failed after its deadline of 4 s, with may_have_run (TestRollingRestartUnderLoad).

Cause: a host was ready once it knew a release, which it reads from the store. Until its first exchange of records it knows no zone's lease holder and takes every endpoint for cold, so that a request waits at each stage for permits that it can't ask for.

Change: a host is ready, and takes requests, once its records have equalled those of a host that is caught up, or after 5 s, or at once if it has no seeds. Until then it refuses at once with not_ready, not_run: the other hosts can serve. It exchanges digests again as soon as it has received records, not a second later. A host says in the exchange whether it is caught up itself, so that hosts that start together don't take each other's records for all; hosts of earlier builds count as caught up.

TestHostThatHasNotCaughtUpRefusesAtOnce fails before (no_capacity after about 2 s) and passes after. TestHostsThatStartTogetherAreCaughtUpWithTheOthers fails without the field.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -225,7 +225,7 @@
 func (a *App) Snapshot() *Snapshot { return a.snapshot.Load() }
 
 // Ready returns nil if the host accepts requests, else an error with the reason: it
-// is shutting down or knows no release.
+// is shutting down, knows no release or has not caught up with the other hosts.
 func (a *App) Ready() error {
 	if a.activeRequests.draining() {
 		return errors.New("shutting down")
@@ -233,9 +233,16 @@
 	if a.Snapshot().Release == nil {
 		return errors.New("no release known yet: store and peers have not answered")
 	}
+	if !a.caughtUp() {
+		return errors.New("not caught up with the other hosts yet")
+	}
 	return nil
 }
 
+// caughtUp reports whether the host knows what the other hosts know, such as the zones'
+// lease holders and the endpoints that are warm.
+func (a *App) caughtUp() bool { return a.deps.Fleet == nil || a.deps.Fleet.View().CaughtUp }
+
 // Stop announces to the other hosts that this one is leaving, refuses new requests,
 // waits up to the drain timeout for those in progress and interrupts the others. It
 // stores the outcomes of runs with an idempotency key, as far as that takes no longer
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -61,6 +61,9 @@
 	// LeaseRank is this host's position among the candidates for its zone's lease,
 	// from 0, or negative if it is not a candidate.
 	LeaseRank int
+	// CaughtUp is set once this host has received the records of another host; see
+	// membership.Agent. It stays set.
+	CaughtUp bool
 	// OtherZones lists the known availability zones other than this host's.
 	OtherZones []string
 
@@ -104,6 +107,8 @@
 	// step of agent.
 	agent    *membership.Agent
 	nextStep time.Time
+	// caughtUp is View.CaughtUp; only New and the control goroutine access it.
+	caughtUp bool
 }
 
 var (
@@ -121,6 +126,7 @@
 		agent:   membership.NewAgent(cfg.Clock.Now(), cfg.Self, cfg.Seeds, cfg.Rand),
 	}
 	cfg.Transport.OnMessage(f.receive)
+	f.caughtUp = f.agent.CaughtUp()
 	f.updateView(cfg.Clock.Now())
 	return f
 }
@@ -194,6 +200,11 @@
 		f.records.apply(record.GossipRecord)
 	}
 	f.records.sweep(now)
+	// Subscribers have the records by now.
+	if !f.View().CaughtUp && f.agent.CaughtUp() {
+		f.caughtUp = true
+		f.updateView(now)
+	}
 }
 
 func (f *Fleet) send(out []spread.OutgoingMessage) {
@@ -211,6 +222,7 @@
 		UnreachableZones: t.UnreachableZones(),
 		WatchesStore:     t.IsSelected("watch", membership.WatchersPerZone),
 		LeaseRank:        slices.Index(t.SelectHosts(t.Self().AvailabilityZone, membership.LeasePurpose, membership.CandidatesPerLease), t.Self().ID),
+		CaughtUp:         f.caughtUp,
 		OtherZones:       t.OtherZones(),
 		addresses:        make(map[string]string),
 	}
--- a/internal/app/fleet_test.go
+++ b/internal/app/fleet_test.go
@@ -1,6 +1,7 @@
 package app_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -11,8 +12,11 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/adapter/peer"
+	"github.com/pimentorill/pimentorill/internal/app"
 	"github.com/pimentorill/pimentorill/internal/core/release"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/daemon"
+	"github.com/pimentorill/pimentorill/internal/standin"
 	"github.com/pimentorill/pimentorill/internal/testbed"
 )
 
@@ -300,3 +304,27 @@
 	})
 	t.Logf("killed host seen as gone by all others after %v", time.Since(start).Round(time.Millisecond))
 }
+
+// Guards against requests that wait up to their deadline at a host that has just started,
+// because it has not heard of lease holders and warm endpoints yet. Other hosts can serve
+// them, so it refuses them at once.
+func TestHostThatHasNotCaughtUpRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	bed, network := startFleet(t, 3, 5)
+	network.lossPercent.Store(100)
+	host := bed.StartHostWithoutWaiting(t, 3).App()
+	testbed.Until(t, "the host has read the release", func() bool { return host.Snapshot().Release != nil })
+	in := app.RunRequest{Customer: testbed.Customer, Pipeline: standin.PipelineGuidebook, Input: json.RawMessage(`1`)}
+	start := time.Now()
+	response, err := host.Run(t.Context(), in)
+	is.Equal(verdict.From(err).Code, verdict.CodeNotReady)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(len(response.Stages), 0)
+	is.True(time.Since(start) < time.Second) // well before the deadline of 4 s
+	is.True(host.Ready() != nil)
+	network.lossPercent.Store(0)
+	testbed.Until(t, "the host is ready", func() bool { return host.Ready() == nil })
+	_, err = host.Run(t.Context(), in)
+	is.NoErr(err)
+}
--- a/internal/app/run.go
+++ b/internal/app/run.go
@@ -125,6 +125,9 @@
 	if r == nil {
 		return pipeline.Request{}, verdict.New(verdict.CodeNotReady, verdict.NotRun, "no release is known yet").WithRetryAfter(time.Second)
 	}
+	if !a.caughtUp() {
+		return pipeline.Request{}, verdict.New(verdict.CodeNotReady, verdict.NotRun, "the host has not caught up with the others yet").WithRetryAfter(time.Second)
+	}
 	p, ok := r.Pipeline(in.Pipeline)
 	if !ok {
 		return pipeline.Request{}, verdict.New(verdict.CodeNotFound, verdict.NotRun, "no such pipeline")
--- a/internal/core/membership/agent.go
+++ b/internal/core/membership/agent.go
@@ -8,12 +8,18 @@
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
+// catchUpTimeout bounds how long a host that starts may miss what the others know. It
+// allows for three unanswered exchanges and for seeds that are down.
+const catchUpTimeout = 5 * time.Second
+
 // Agent connects a Table to the gossip of records: it publishes this host's
 // record and the table's other records, and applies received ones to the table.
 // It is not safe for concurrent use.
 type Agent struct {
 	table *Table
 	node  *spread.Node
+	// catchUpUntil is when the node counts as synced in any case.
+	catchUpUntil time.Time
 	// updates are the records that TakeUpdates returns next.
 	updates []spread.ScopedRecord
 }
@@ -22,11 +28,19 @@
 // are addresses to contact while no known host has them.
 func NewAgent(now time.Time, self port.Member, seeds []string, r *rand.Rand) *Agent {
 	table := NewTable(self, seeds)
-	a := &Agent{table: table, node: spread.NewNode(self.AvailabilityZone, table, r)}
+	a := &Agent{table: table, node: spread.NewNode(self.AvailabilityZone, table, r), catchUpUntil: now.Add(catchUpTimeout)}
+	if len(seeds) == 0 {
+		a.node.SetSynced()
+	}
 	a.publish(now, table.Record())
 	return a
 }
 
+// CaughtUp reports whether the host has received what a host that is caught up knows, or
+// has no seeds, or has run for catchUpTimeout. Before that it may know of no lease holder,
+// and of no endpoint that it is warm.
+func (a *Agent) CaughtUp() bool { return a.node.Synced() }
+
 // Table returns the table, for reading and for ApplyHostList.
 func (a *Agent) Table() *Table { return a.table }
 
@@ -58,6 +72,9 @@
 // Step runs all periodic work that is due and returns the messages to send. Call it
 // every spread.StepInterval.
 func (a *Agent) Step(now time.Time) []spread.OutgoingMessage {
+	if !now.Before(a.catchUpUntil) {
+		a.node.SetSynced()
+	}
 	for _, r := range a.table.ExpireSuspects(now) {
 		a.publish(now, r)
 	}
--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -217,6 +217,72 @@
 	is.True(f.allSee(23, port.MemberLive, anyHost)) // a record of the dead incarnation changes nothing
 }
 
+// Guards against a host that accepts requests before it knows what the others know: it
+// knew no lease holder, and of no endpoint that it is warm, for up to two seconds.
+func TestHostIsCaughtUpOnceItHasTheOthersRecords(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		f := newTestFleet(t, 24, 3, seed)
+		f.runUntil(20*time.Second, "all known", func() bool { return f.allSee(24, port.MemberLive, anyHost) })
+		const records = 100
+		for i := range records {
+			from := f.hosts[fmt.Sprintf("entry-%03d", i%24)]
+			from.agent.Put(f.now, port.GossipRecord{Topic: "t", Key: fmt.Sprint(i), Version: 1, Value: make([]byte, 100)}, port.ScopeFleet)
+		}
+		f.run(30 * time.Second)
+		is.True(f.hosts["entry-000"].agent.CaughtUp())
+		h := f.startHost("entry-024", "zone-0")
+		is.True(!h.agent.CaughtUp())
+		f.runUntil(2*time.Second, "the host is caught up", func() bool { return h.agent.CaughtUp() })
+		for i := range records {
+			_, known := h.agent.Get("t", fmt.Sprint(i))
+			is.True(known)
+		}
+	}
+}
+
+// Guards against hosts that start together and take each other's few records for all.
+func TestHostsThatStartTogetherAreCaughtUpWithTheOthers(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		f := newTestFleet(t, 12, 3, seed)
+		f.runUntil(20*time.Second, "all known", func() bool { return f.allSee(12, port.MemberLive, anyHost) })
+		f.hosts["entry-009"].agent.Put(f.now, port.GossipRecord{Topic: "t", Key: "k", Version: 1}, port.ScopeFleet)
+		f.run(10 * time.Second)
+		restarted := []int{0, 1, 3} // two of them are seeds
+		for _, i := range restarted {
+			f.hosts[fmt.Sprintf("entry-%03d", i)].down = true
+		}
+		f.run(time.Second)
+		var started []*testHost
+		for _, i := range restarted {
+			started = append(started, f.startHost(fmt.Sprintf("entry-%03d", i), fmt.Sprintf("zone-%d", i%3)))
+		}
+		f.lossRate = 0.2
+		for range 40 {
+			f.run(stepInterval)
+			for _, h := range started {
+				_, known := h.agent.Get("t", "k")
+				is.True(known || !h.agent.CaughtUp())
+			}
+		}
+	}
+}
+
+// A host that reaches no other one is caught up after the timeout, one without seeds at
+// once.
+func TestHostAloneIsCaughtUp(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 0, 1, 1)
+	h := f.startHost("entry-000", "zone-0")
+	f.run(catchUpTimeout - time.Second)
+	is.True(!h.agent.CaughtUp())
+	f.run(time.Second)
+	is.True(h.agent.CaughtUp())
+	first := NewAgent(f.now, h.self, nil, rand.New(rand.NewPCG(1, 2)))
+	is.True(first.CaughtUp())
+}
+
 // TestPausedHostBecomesLiveAgain pauses a host for a minute, long enough that the
 // others consider it gone. The host must refute that when it resumes.
 func TestPausedHostBecomesLiveAgain(t *testing.T) {
--- a/internal/core/spread/message.go
+++ b/internal/core/spread/message.go
@@ -50,6 +50,8 @@
 	// Requests are records that the sender asks the receiver for.
 	Requests []wireRecordID `cbor:"10,keyasint,omitempty"`
 	Records  []wireRecord   `cbor:"11,keyasint,omitempty"`
+	// CatchingUp says in a kindBucketDigests that the sender is not synced itself.
+	CatchingUp bool `cbor:"12,keyasint,omitempty"`
 }
 
 // recordVersion identifies a record and its version, without the value.
--- a/internal/core/spread/node.go
+++ b/internal/core/spread/node.go
@@ -100,6 +100,8 @@
 	syncOrder []string
 	// syncZoneIndex selects, modulo their number, the other zone synced with last.
 	syncZoneIndex int
+	// synced is set once a synced peer's digest has equalled this host's, or by SetSynced.
+	synced bool
 	// seq is the Seq of the digest sent last.
 	seq uint32
 	// pushAllowanceBytes is the level of the token bucket, in bytes: how much may be
@@ -135,6 +137,13 @@
 	}
 }
 
+// Synced reports whether this host has had the same records as a synced host at least
+// once. Until then it exchanges digests again as soon as it has received records.
+func (n *Node) Synced() bool { return n.synced }
+
+// SetSynced makes this host count as synced with what it has.
+func (n *Node) SetSynced() { n.synced = true }
+
 // Put publishes a record of this host. It reports whether the record was
 // stored: it must be newer than the known version and not expired, and a record
 // without a known version is rejected once there are MaxRecords.
--- a/internal/core/spread/receive.go
+++ b/internal/core/spread/receive.go
@@ -35,7 +35,7 @@
 
 // handleDigest responds with the bucket digests of the scopes that differ.
 func (n *Node) handleDigest(from Peer, m message) {
-	response := message{Kind: kindBucketDigests, Seq: m.Seq}
+	response := message{Kind: kindBucketDigests, Seq: m.Seq, CatchingUp: !n.synced}
 	if m.FleetDigest != n.replica.digest(port.ScopeFleet) {
 		response.FleetBucketDigests = n.replica.bucketDigests(port.ScopeFleet)
 	}
@@ -46,7 +46,8 @@
 }
 
 // handleBucketDigests ends the exchange and responds with the versions of the
-// records in the buckets that differ.
+// records in the buckets that differ. If none differs from a synced host's, this host is
+// synced.
 func (n *Node) handleBucketDigests(from Peer, m message) {
 	if e, ok := n.exchanges[from.ID]; ok && e.seq == m.Seq {
 		delete(n.exchanges, from.ID)
@@ -59,6 +60,8 @@
 	}
 	if response.FleetBucketMask|response.ZoneBucketMask != 0 {
 		n.send(from.Address, response)
+	} else if !m.CatchingUp {
+		n.synced = true
 	}
 }
 
@@ -182,18 +185,23 @@
 }
 
 // handleUpdate stores the records, and responds with the records requested and with
-// requests for the newer records whose versions the message carries.
+// requests for the newer records whose versions the message carries. A host that is not
+// synced yet then starts the next exchange.
 func (n *Node) handleUpdate(now time.Time, from Peer, m message) {
+	stored := false
 	for _, w := range m.Records {
 		rec, ok := w.scopedRecord()
 		if !ok || rec.Scope == port.ScopeZone && !n.sameZone(from) {
 			continue
 		}
-		n.store(now, rec, n.sameZone(from))
+		stored = n.store(now, rec, n.sameZone(from)) || stored
 	}
 	response := message{Kind: kindUpdate, Requests: n.startFetches(now, from, m.Versions)}
 	n.addRequested(&response, from, m.Requests)
 	n.sendUpdate(from, response)
+	if stored && !n.synced && n.exchanges[from.ID] == nil {
+		n.startExchange(now, from, 1)
+	}
 }
 
 // addRequested adds the records that a peer requested until the message is
