Have callers' keys run once across a restore of the store

Cause: the claim of the first run was lost with the store's last seconds, and nothing told the next host that the store had lost anything: it claimed the key anew.

Change (decision 0026): a claim is used only in the epoch in which it was acknowledged. A host that learns of a later epoch writes the claims in its memory again where they are missing, with outcomes, and asks the other hosts whether theirs are back. Until all that are not gone have said so, for at most 10 s, it claims no key and refuses unless its own memory knows the key; not_run only if all hosts confirm it, as while the store is away. A claim that was requested before others had written theirs again is looked up once more. Writes of documents name the epoch of the revision. Replies to ops name the epoch if the sender asks; an older build's reply without one is used only if the store names none. The calls for the release and the lease pass the epoch on, so idle hosts learn of it too.

TestClaimOfTheNextEpochIsNotOverwritten, TestClaimIsUsedOnlyInTheEpochOfItsAcknowledgement.

Existing tests: the simulation's store names an epoch and raises it with a restore, as the adapter does; data, revisions and expiry go back as before. Requests between its hosts end with their context while the handler goes on, as the transport's do; they used to wait for the handler. Both allow more orders of events than before, and no check was changed. The fake peers of internal/app answer unknown kinds as the transport does, and guard their handlers, since hosts now ask each other early.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -166,6 +166,7 @@
 	a.initZoneLease()
 	if a.lease != nil {
 		a.lease.onStoreResult = a.controlLoop.recordStoreResult
+		a.lease.onEpoch = a.claims.ObserveEpoch
 	}
 	a.orders = a.newZoneOrderLoop()
 	a.dataPlane, err = a.newDataPlane()
--- a/internal/app/follow.go
+++ b/internal/app/follow.go
@@ -80,6 +80,7 @@
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		entry, err := a.deps.ControlStore.Get(ctx, release.CurrentKey)
+		a.claims.ObserveEpoch(entry.Epoch)
 		if errors.Is(err, port.ErrNotFound) {
 			return port.Entry{}, nil
 		}
@@ -88,6 +89,7 @@
 	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	entry, err := a.deps.ControlStore.Watch(watchCtx, release.CurrentKey, seen)
+	a.claims.ObserveEpoch(entry.Epoch)
 	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
 		// A watch without events looks the same if the store is unreachable; a
 		// read tells the two apart.
--- a/internal/app/once.go
+++ b/internal/app/once.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"log/slog"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,9 +45,18 @@
 		Random:        rand.Reader,
 		ClaimWindow:   a.claimWindow,
 		SigningSecret: []byte(a.cfg.SharedKey),
+		Restored:      a.reportRestore,
 	})
 }
 
+// reportRestore logs and counts that this host has got over a restore of the store.
+func (a *App) reportRestore(r claim.Restore) {
+	a.deps.Log.Warn("claims are back after a restore of the store", slog.Int64("epoch", r.Epoch), slog.Int64("former_epoch", r.FormerEpoch),
+		slog.Int("claims", r.Claims), slog.Int64("took_ms", r.Duration.Milliseconds()), slog.Any("hosts_given_up", r.Missing))
+	a.deps.Metrics.Counter("store_restores_total").Inc(1)
+	a.deps.Metrics.Counter("claims_written_again_total").Inc(int64(r.Claims))
+}
+
 // claimWindow returns how long after its creation a key with a timestamp may be
 // used, according to the release in force, or the default if none is known.
 func (a *App) claimWindow() time.Duration {
--- a/internal/app/results_test.go
+++ b/internal/app/results_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,11 +11,15 @@
 
 	"github.com/pimentorill/pimentorill/internal/core/pipeline"
 	"github.com/pimentorill/pimentorill/internal/core/release"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 type handler = func(ctx context.Context, from port.Member, payload []byte) ([]byte, error)
 
+// handlersMu guards the handlers of fakePeers, whose hosts start one after another.
+var handlersMu sync.RWMutex
+
 // fakePeers connects hosts in memory. handlers holds the handlers of all hosts by
 // host id and message kind. If previousReply is set, replies are misdirected: each
 // caller gets the reply to the previous message.
@@ -34,14 +39,24 @@
 }
 
 func (p *fakePeers) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
-	reply, err := p.handlers[host][kind](ctx, p.Self(), payload)
+	handlersMu.RLock()
+	handle := p.handlers[host][kind]
+	handlersMu.RUnlock()
+	if handle == nil {
+		return nil, verdict.New(verdict.CodeNotFound, verdict.NotRun, "no handler for "+kind)
+	}
+	reply, err := handle(ctx, p.Self(), payload)
 	if p.previousReply != nil {
 		reply, *p.previousReply = *p.previousReply, reply
 	}
 	return reply, err
 }
 
-func (p *fakePeers) Handle(kind string, fn handler) { p.handlers[p.id][kind] = fn }
+func (p *fakePeers) Handle(kind string, fn handler) {
+	handlersMu.Lock()
+	defer handlersMu.Unlock()
+	p.handlers[p.id][kind] = fn
+}
 
 // newCacheableRequest returns a request with an idempotency key, whose results may
 // be cached.
--- a/internal/app/zonelease.go
+++ b/internal/app/zonelease.go
@@ -33,6 +33,9 @@
 	app *App
 	// onStoreResult is called with the error of each call to the store; may be nil.
 	onStoreResult func(err error)
+	// onEpoch is called with the store's epoch after each call, 0 if it is not known; may be
+	// nil.
+	onEpoch func(epoch int64)
 
 	mu      sync.Mutex
 	elector *lease.Elector // guarded by mu
@@ -94,6 +97,9 @@
 	if z.onStoreResult != nil && ctx.Err() == nil {
 		z.onStoreResult(err)
 	}
+	if z.onEpoch != nil {
+		z.onEpoch(entry.Epoch)
+	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.elector.HandleResult(z.app.deps.Clock.Now(), call, entry, err)
--- a/internal/core/claim/cache.go
+++ b/internal/core/claim/cache.go
@@ -22,7 +22,7 @@
 	defer cancel()
 	e, err := w.shared.store.Get(ctx, addr.storeKey())
 	if errors.Is(err, port.ErrNotFound) {
-		e, err = port.Entry{}, nil
+		e, err = port.Entry{Epoch: e.Epoch}, nil
 	}
 	if err != nil {
 		return nil, err
@@ -31,21 +31,21 @@
 	if err != nil {
 		return nil, err
 	}
-	cached := &cachedDocument{doc: d, revision: e.Revision, fresh: true}
+	cached := &cachedDocument{doc: d, revision: e.Revision, epoch: e.Epoch, fresh: true}
 	w.cache[addr] = cached
 	return cached, nil
 }
 
-// compareAndSwap writes the document if its revision is prev. On ErrConflict it
-// returns the current entry.
-func (w *shardWriter) compareAndSwap(addr documentAddress, prev uint64, d *document) (port.Entry, error) {
+// compareAndSwap writes the document if its revision is still that of prev, in the same
+// epoch. On ErrConflict it returns the current entry.
+func (w *shardWriter) compareAndSwap(addr documentAddress, prev *cachedDocument, d *document) (port.Entry, error) {
 	value, err := d.encode()
 	if err != nil {
 		return port.Entry{}, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	return w.shared.store.CompareAndSwap(ctx, addr.storeKey(), prev, value, w.ttl(addr))
+	return w.shared.store.CompareAndSwapInEpoch(ctx, prev.epoch, addr.storeKey(), prev.revision, value, w.ttl(addr))
 }
 
 // ttl returns the time to live of a document after a write. The document must not
@@ -68,6 +68,6 @@
 	}
 	d, decodeErr := decodeDocument(current.Value)
 	if decodeErr == nil {
-		w.cache[addr] = &cachedDocument{doc: d, revision: current.Revision, fresh: true}
+		w.cache[addr] = &cachedDocument{doc: d, revision: current.Revision, epoch: current.Epoch, fresh: true}
 	}
 }
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -62,6 +62,9 @@
 	// UndatedRetention is how long keys without a timestamp are retained; 0 means
 	// UndatedKeyRetention.
 	UndatedRetention time.Duration
+	// Restored is called when this host has got over a restore of the store from an older
+	// copy; may be nil.
+	Restored func(Restore)
 }
 
 // Request is a request with an idempotency key.
@@ -109,6 +112,7 @@
 	// writers holds this host's writer of each shard, by shard.
 	writers   []shardWriter
 	runs      *runTable
+	epochs    *epochState
 	limiter   issueLimiter
 	startedAt time.Time
 	draining  atomic.Bool
@@ -125,7 +129,7 @@
 	if cfg.UndatedRetention == 0 {
 		cfg.UndatedRetention = UndatedKeyRetention
 	}
-	c := &Claims{cfg: cfg, random: &lockedReader{r: cfg.Random}, runs: newRunTable(), startedAt: cfg.Clock.Now()}
+	c := &Claims{cfg: cfg, random: &lockedReader{r: cfg.Random}, runs: newRunTable(), epochs: newEpochState(), startedAt: cfg.Clock.Now()}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	shared := &sharedState{
 		ctx:   c.ctx,
@@ -136,6 +140,7 @@
 	if cfg.Peers != nil {
 		cfg.Peers.Handle(requestKindOp, c.handleOp)
 		cfg.Peers.Handle(requestKindMayHaveRun, c.handleMayHaveRun)
+		cfg.Peers.Handle(requestKindEpoch, c.handleEpoch)
 	}
 	return c
 }
@@ -267,14 +272,30 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	o := ex.op(opAddClaim, limit)
-	o.Digest = req.Digest
-	res := c.submitOp(ctx, o)
-	if res.err != nil {
-		return c.rejectUnresolved(ex, k, res.err)
+	if err := c.epochs.waitOpen(ctx); err != nil {
+		return c.reject(ex, errStoreUnavailable(err, c.verdictWithoutStore(context.WithoutCancel(ctx), k)))
 	}
-	if res.entry.ClaimID != ex.claimID {
-		return c.resolveExisting(ex, res.entry, req.Digest, started)
+	var claimed entry
+	for confirmed := false; !confirmed; {
+		o := ex.op(opAddClaim, limit)
+		o.Digest = req.Digest
+		requestedAt := c.cfg.Clock.Now()
+		res := c.submitOp(ctx, o)
+		if res.err != nil {
+			return c.rejectUnresolved(ex, k, res.err)
+		}
+		if res.entry.State == stateRan && res.entry.Digest == req.Digest {
+			return c.resolveExisting(ex, res.entry, req.Digest, started)
+		}
+		c.observeEpoch(res.epoch, 0)
+		if err := c.epochs.waitOpen(ctx); err != nil {
+			return c.rejectUnresolved(ex, k, err)
+		}
+		claimed = res.entry
+		confirmed = c.epochs.confirm(res.epoch, requestedAt, func() { c.runs.setClaim(r, k.addr, claimed) })
+	}
+	if claimed.ClaimID != ex.claimID {
+		return c.resolveExisting(ex, claimed, req.Digest, started)
 	}
 	close(r.claimHeld)
 	if err := ex.CheckClaim(); err != nil {
@@ -334,6 +355,7 @@
 		return c.reject(ex, errOutputDiscarded())
 	}
 	close(ex.run.claimHeld)
+	c.runs.setClaim(ex.run, *ex.addr, e)
 	c.runs.setOutcome(ex.run, outcome{output: e.Output})
 	c.runs.retain(ex.id, ex.run)
 	return Decision{Kind: Replay, Output: e.Output}, nil
--- a/internal/core/claim/document.go
+++ b/internal/core/claim/document.go
@@ -108,6 +108,7 @@
 	opAddClaim opKind = iota + 1
 	opRecordOutcome
 	opReleaseClaim
+	opRestoreClaims
 )
 
 // op is one idempotent change of a document. It is sent between hosts under its
@@ -124,6 +125,10 @@
 	Claim [16]byte
 	// Output is set for opRecordOutcome; nil if the output is not to be stored.
 	Output []byte
+	// Entries is set for opRestoreClaims: claims that the store held and may have lost.
+	Entries []entry `cbor:",omitempty"`
+	// WantEpoch asks for an epochOpReply.
+	WantEpoch bool `cbor:",omitempty"`
 	// Expires is the time, in Unix milliseconds, after which nothing waits for
 	// the op and it is dropped.
 	Expires int64
@@ -141,8 +146,11 @@
 // entry is zero.
 func (d *document) apply(o *op, now time.Time) (entry, bool, error) {
 	e := d.find(o.Key)
-	if o.Kind == opAddClaim {
+	switch o.Kind {
+	case opAddClaim:
 		return d.addClaim(e, o, now)
+	case opRestoreClaims:
+		return entry{}, d.restoreClaims(o.Entries), nil
 	}
 	if e == nil || e.ClaimID != o.Claim || e.State != stateClaimed {
 		return entry{}, false, nil
@@ -170,6 +178,28 @@
 	return d.Entries[len(d.Entries)-1], true, nil
 }
 
+// restoreClaims adds the claims that the document lacks and reports whether it changed. A
+// claim replaces one of another request for the same key that has not run: the other one
+// is not confirmed, or was only after this one had been given up.
+func (d *document) restoreClaims(claims []entry) bool {
+	changed := false
+	for _, claim := range claims {
+		existing := d.find(claim.Key)
+		switch {
+		case existing == nil:
+			d.Entries = append(d.Entries, claim)
+		case existing.State == stateRan || existing.compacted():
+			continue
+		case existing.ClaimID == claim.ClaimID && existing.State == claim.State:
+			continue
+		default:
+			*existing = claim
+		}
+		changed = true
+	}
+	return changed
+}
+
 // trimOutputs drops outputs until the document is within maxDocumentBytes. It
 // drops them in the order of the entries, which is only approximately by age,
 // because the release of a claim moves the last entry.
--- a/internal/core/claim/errors.go
+++ b/internal/core/claim/errors.go
@@ -1,6 +1,10 @@
 package claim
 
-import "github.com/pimentorill/pimentorill/internal/core/verdict"
+import (
+	"github.com/go-faster/errors"
+
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
+)
 
 // Constructors of the errors that Begin returns.
 
@@ -41,9 +45,14 @@
 }
 
 func errStoreUnavailable(cause error, v verdict.Verdict) error {
-	message := "the store is away; nothing was run"
-	if v != verdict.NotRun {
-		message = "the store is away; this sending was not run, an earlier one may have"
+	message := "the store is away"
+	if errors.Is(cause, errClaimsNotBack) {
+		message = "the store came back from an older copy and keys are being written again"
+	}
+	if v == verdict.NotRun {
+		message += "; nothing was run"
+	} else {
+		message += "; this sending was not run, an earlier one may have"
 	}
 	return verdict.Wrap(cause, verdict.CodeStoreUnavailable, v, message).WithRetryAfter(storeFailurePause)
 }
--- a/internal/core/claim/fakes_test.go
+++ b/internal/core/claim/fakes_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -66,13 +65,15 @@
 	callsInSecond     int
 	calls             int
 	revision          uint64
-	entries           map[string]port.Entry
-	expiresAt         map[string]time.Time
+	// epoch rises with each restore.
+	epoch     int64
+	entries   map[string]port.Entry
+	expiresAt map[string]time.Time
 }
 
 func newMemoryStore(random *randomSource) *memoryStore {
 	return &memoryStore{
-		random: random, latency: 2 * time.Millisecond, unavailable: func() bool { return false },
+		random: random, latency: 2 * time.Millisecond, unavailable: func() bool { return false }, epoch: 1,
 		entries: make(map[string]port.Entry), expiresAt: make(map[string]time.Time),
 	}
 }
@@ -110,8 +111,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.liveEntry(key)
+	e.Epoch = s.epoch
 	if !ok {
-		return port.Entry{}, port.ErrNotFound
+		return port.Entry{Epoch: s.epoch}, port.ErrNotFound
 	}
 	return e, nil
 }
@@ -125,130 +127,44 @@
 	return e, ok
 }
 
-func (s *memoryStore) CompareAndSwap(_ context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+func (s *memoryStore) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+	return s.CompareAndSwapInEpoch(ctx, 0, key, prev, value, ttl)
+}
+
+func (s *memoryStore) CompareAndSwapInEpoch(_ context.Context, epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	if err := s.beginCall(); err != nil {
 		return port.Entry{}, err
 	}
 	if !s.random.percent(s.lostResponsePercent) {
-		return s.put(key, prev, value, ttl)
+		return s.put(epoch, key, prev, value, ttl)
 	}
 	switch s.random.intn(3) {
 	case 0: // lost before the write
 	case 1: // lost after the write
-		_, _ = s.put(key, prev, value, ttl)
+		_, _ = s.put(epoch, key, prev, value, ttl)
 	case 2: // the write takes effect late
 		delay := time.Duration(s.random.intn(1000)) * time.Millisecond
-		time.AfterFunc(delay, func() { _, _ = s.put(key, prev, value, ttl) })
+		time.AfterFunc(delay, func() { _, _ = s.put(epoch, key, prev, value, ttl) })
 	}
 	return port.Entry{}, port.ErrUncertain
 }
 
 // put executes a compare-and-swap without faults.
-func (s *memoryStore) put(key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
+func (s *memoryStore) put(epoch int64, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, _ := s.liveEntry(key)
-	if e.Revision != prev && !s.ignoreRevision {
+	e.Epoch = s.epoch
+	if (e.Revision != prev || epoch != 0 && epoch != s.epoch) && !s.ignoreRevision {
 		return e, port.ErrConflict
 	}
 	s.revision++
-	e = port.Entry{Key: key, Value: value, Revision: s.revision}
+	e = port.Entry{Key: key, Value: value, Revision: s.revision, Epoch: s.epoch}
 	s.entries[key] = e
 	s.expiresAt[key] = time.Now().Add(ttl)
 	return e, nil
 }
 
-// network connects hosts; requests and replies may be lost.
-type network struct {
-	random *randomSource
-	// lossPercent is the percentage of requests that are lost, and of replies.
-	lossPercent int
-	nodes       []*node
-	// members is the list that all hosts see. It is stale: crashed hosts stay in
-	// it.
-	members []port.Member
-}
-
-// node is one host's connection to the network; it implements port.Peers.
-type node struct {
-	net      *network
-	self     port.Member
-	handlers map[string]func(context.Context, port.Member, []byte) ([]byte, error)
-	// latency is the one-way latency of a message.
-	latency time.Duration
-
-	mu      sync.Mutex
-	crashed bool
-}
-
-func (n *network) add(id string) *node {
-	added := &node{net: n, self: port.Member{ID: id, Incarnation: 1}, latency: time.Millisecond}
-	added.handlers = make(map[string]func(context.Context, port.Member, []byte) ([]byte, error))
-	n.nodes = append(n.nodes, added)
-	n.members = append(n.members, added.self)
-	return added
-}
-
-func (n *node) crash() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.crashed = true
-}
-
-func (n *node) isCrashed() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.crashed
-}
-
-func (n *node) Self() port.Member { return n.self }
-
-func (n *node) Members() []port.Member { return n.net.members }
-
-func (n *node) Handle(kind string, fn func(context.Context, port.Member, []byte) ([]byte, error)) {
-	n.handlers[kind] = fn
-}
-
-var (
-	errNotSent        = verdict.New(verdict.CodeInternal, verdict.NotRun, "no connection")
-	errConnectionLost = verdict.New(verdict.CodeInternal, verdict.MayHaveRun, "connection lost")
-)
-
-func (n *node) Ask(ctx context.Context, host, kind string, payload []byte) ([]byte, error) {
-	sleep(n.latency)
-	for _, other := range n.net.nodes {
-		if other.self.ID == host {
-			return n.ask(ctx, other, kind, payload)
-		}
-	}
-	return nil, errNotSent
-}
-
-func (n *node) ask(ctx context.Context, other *node, kind string, payload []byte) ([]byte, error) {
-	if n.isCrashed() || other.isCrashed() || n.net.random.percent(n.net.lossPercent) {
-		return nil, errNotSent
-	}
-	reply, err := other.handlers[kind](ctx, n.self, payload)
-	sleep(n.latency)
-	if other.isCrashed() || ctx.Err() != nil || n.net.random.percent(n.net.lossPercent) {
-		return nil, errConnectionLost
-	}
-	return reply, err
-}
-
-// hostStore is one host's access to the store: a crashed host writes nothing.
-type hostStore struct {
-	*memoryStore
-	host *node
-}
-
-func (s hostStore) CompareAndSwap(ctx context.Context, key string, prev uint64, value []byte, ttl time.Duration) (port.Entry, error) {
-	if s.host.isCrashed() {
-		return port.Entry{}, port.ErrUnavailable
-	}
-	return s.memoryStore.CompareAndSwap(ctx, key, prev, value, ttl)
-}
-
 // plainService records the submissions that it ran.
 type plainService struct {
 	mu sync.Mutex
@@ -270,6 +186,9 @@
 	p.runs[input] = append(p.runs[input], submissionID)
 	p.mu.Unlock()
 	sleep(time.Duration(5+submissionID%3) * time.Millisecond)
+	if fault == faultSlowRun {
+		sleep(2500 * time.Millisecond)
+	}
 	if fault == faultLostResponse {
 		return "", errConnectionLost
 	}
@@ -310,6 +229,9 @@
 	faultPausedPastWindow
 	// faultCount is the number of faults, faultNone included.
 	faultCount
+	// faultSlowRun means that the service responds after 2.5 s. Only scenarios with
+	// restores have it.
+	faultSlowRun
 )
 
 var errHostCrashed = errors.New("host crashed")
--- a/internal/core/claim/simulation_test.go
+++ b/internal/core/claim/simulation_test.go
@@ -155,6 +155,7 @@
 // run handles a submission on a host.
 func (sim *simulation) run(ctx context.Context, host int, f forwarded) (string, error) {
 	input := sim.input(f)
+	sim.net.nodes[host].waitWhilePaused()
 	deadline, _ := ctx.Deadline()
 	d, err := sim.hosts[host].Begin(ctx, Request{
 		Customer: testCustomer, Key: sim.keys[f.Key], Digest: DigestOf("booking", []byte(input)), Deadline: deadline,
@@ -193,6 +194,7 @@
 	if f.Fault == faultPausedPastWindow {
 		sleep(testRetention + testWindow)
 	}
+	node.waitWhilePaused()
 	if f.Fault == faultHostCrashesBeforeRun {
 		node.crash()
 		return "", errHostCrashed
--- a/internal/core/claim/submit.go
+++ b/internal/core/claim/submit.go
@@ -34,6 +34,17 @@
 	Entry entry
 }
 
+// epochOpReply is the reply to an op that asks for it. A host of an earlier build replies
+// with an opReply.
+type epochOpReply struct {
+	_            struct{} `cbor:",toarray"`
+	HasResult    bool
+	DocumentFull bool
+	Entry        entry
+	// Epoch is the store's epoch in which Entry was read or written; 0 if it names none.
+	Epoch int64
+}
+
 // submitOp executes an op through the shard's writer host. Each shard has one
 // writer host, so that the claims of all hosts share its writes. Any other host
 // can write the shard too: if the writer host returns no result, this host
@@ -49,6 +60,9 @@
 	}
 	select {
 	case r := <-c.writers[o.Shard].submit(o):
+		if r.err == nil && r.epoch == 0 {
+			c.epochs.setUnnamed()
+		}
 		return r
 	case <-ctx.Done():
 		return result{err: errors.Wrap(ctx.Err(), "claim")}
@@ -58,6 +72,7 @@
 // submitToWriterHost sends an op to a shard's writer host. It returns the result, and
 // false if there is none.
 func (c *Claims) submitToWriterHost(ctx context.Context, host string, o op) (result, bool) {
+	o.WantEpoch = true
 	payload, err := cbor.Marshal(o)
 	if err != nil {
 		return result{}, false
@@ -72,14 +87,28 @@
 	if err != nil {
 		return result{}, false
 	}
-	var reply opReply
-	if err := cbor.Unmarshal(rawReply, &reply); err != nil || !reply.HasResult {
+	reply, ok := c.decodeOpReply(rawReply)
+	if !ok || !reply.HasResult {
 		return result{}, false
 	}
 	if reply.DocumentFull {
 		return result{err: errDocumentFull}, true
 	}
-	return result{entry: reply.Entry}, true
+	return result{entry: reply.Entry, epoch: reply.Epoch}, true
+}
+
+// decodeOpReply decodes the reply to an op. A reply that names no epoch is of no use
+// unless the store is known to name none.
+func (c *Claims) decodeOpReply(raw []byte) (epochOpReply, bool) {
+	var reply epochOpReply
+	if err := cbor.Unmarshal(raw, &reply); err == nil {
+		return reply, true
+	}
+	var old opReply
+	if err := cbor.Unmarshal(raw, &old); err != nil || !c.epochs.namesNone() {
+		return epochOpReply{}, false
+	}
+	return epochOpReply{HasResult: old.HasResult, DocumentFull: old.DocumentFull, Entry: old.Entry}, true
 }
 
 // handleOp answers the requests of submitToWriterHost.
@@ -93,12 +122,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, opRequestTimeout)
 	defer cancel()
-	var reply opReply
+	var reply epochOpReply
 	select {
 	case r := <-c.writers[o.Shard].submit(o):
-		reply = opReply{HasResult: r.err == nil || errors.Is(r.err, errDocumentFull), DocumentFull: errors.Is(r.err, errDocumentFull), Entry: r.entry}
+		full := errors.Is(r.err, errDocumentFull)
+		reply = epochOpReply{HasResult: r.err == nil || full, DocumentFull: full, Entry: r.entry, Epoch: r.epoch}
 	case <-ctx.Done():
 	}
+	if !o.WantEpoch {
+		return cbor.Marshal(opReply{HasResult: reply.HasResult, DocumentFull: reply.DocumentFull, Entry: reply.Entry})
+	}
 	return cbor.Marshal(reply)
 }
 
--- a/internal/core/claim/table.go
+++ b/internal/core/claim/table.go
@@ -42,6 +42,10 @@
 	evictAfter time.Time
 	// startedAt is when the run was added to the table.
 	startedAt time.Time
+	// claim is the claim of a caller's own key as it was last seen in the store, in the
+	// document addr; zero before. Both are guarded by the runTable's mu.
+	claim entry
+	addr  documentAddress
 }
 
 // isFinished reports whether the outcome is set.
--- a/internal/core/claim/writer.go
+++ b/internal/core/claim/writer.go
@@ -55,6 +55,9 @@
 type result struct {
 	entry entry
 	err   error
+	// epoch is the store's epoch in which the entry was read or written; 0 if it is not
+	// known.
+	epoch int64
 }
 
 // pendingOp is an op that waits to be written.
@@ -73,6 +76,7 @@
 type cachedDocument struct {
 	doc      document
 	revision uint64
+	epoch    int64
 	// fresh means that the document was just read, and that no batch without
 	// changes has got its results from it yet.
 	fresh bool
@@ -249,6 +253,9 @@
 // the next round reads the document: the claim IDs in it show which ops took
 // effect.
 func (w *shardWriter) writeBatch(addr documentAddress, batch []*pendingOp) {
+	if cached, ok := w.cache[addr]; ok {
+		cached.fresh = false
+	}
 	for round := range maxBatchRounds {
 		if round > 0 {
 			w.waitForRate()
@@ -289,10 +296,10 @@
 	if !changed {
 		return w.deliverUnchanged(addr, cached, batch, results)
 	}
-	entry, err := w.compareAndSwap(addr, cached.revision, &next)
+	entry, err := w.compareAndSwap(addr, cached, &next)
 	if err == nil {
-		w.cache[addr] = &cachedDocument{doc: next, revision: entry.Revision}
-		deliverResults(batch, results)
+		w.cache[addr] = &cachedDocument{doc: next, revision: entry.Revision, epoch: entry.Epoch}
+		deliverResults(batch, results, entry.Epoch)
 		return true, nil
 	}
 	w.cacheAfterFailure(addr, entry, err)
@@ -311,7 +318,7 @@
 		return false, nil
 	}
 	cached.fresh = false
-	deliverResults(batch, results)
+	deliverResults(batch, results, cached.epoch)
 	return true, nil
 }
 
@@ -355,7 +362,7 @@
 		w.shared.markUnavailable()
 	}
 	for _, p := range batch {
-		if p.op.Kind == opAddClaim {
+		if p.op.Kind == opAddClaim || p.op.Kind == opRestoreClaims {
 			p.result <- result{err: claimFailure(p, err)}
 			continue
 		}
@@ -384,8 +391,10 @@
 	w.startIfIdle()
 }
 
-func deliverResults(batch []*pendingOp, results []result) {
+// deliverResults delivers the results of a batch, which were read or written in epoch.
+func deliverResults(batch []*pendingOp, results []result, epoch int64) {
 	for i, p := range batch {
+		results[i].epoch = epoch
 		p.result <- results[i]
 	}
 }
