--- a/internal/adapter/httpcall/pool_test.go
+++ b/internal/adapter/httpcall/pool_test.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -60,6 +61,49 @@
 	is.Equal(len(opened), 2)
 }
 
+// TestResponseThatArrivesBetweenTwoCallsIsNotThatOfTheNext guards against a call that gets a response
+// which the server sent to none, while the connection was idle.
+func TestResponseThatArrivesBetweenTwoCallsIsNotThatOfTheNext(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	stray := make(chan struct{})
+	sent := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown")
+					if _, ok := <-stray; ok {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+						sent <- struct{}{}
+					}
+				}
+			}()
+		}
+	}()
+	p := New(Config{})
+	defer p.Close()
+	for range 3 {
+		body, _, err := getBody(t.Context(), p, l.Addr().String())
+		is.NoErr(err)
+		is.Equal(body, "own")
+		stray <- struct{}{}
+		<-sent
+		time.Sleep(20 * time.Millisecond) // the response arrives
+	}
+	close(stray)
+}
+
 // TestNothingIsWrittenAfterDeadline simulates a process that is paused between the
 // check of the context and the write while the deadline passes.
 func TestNothingIsWrittenAfterDeadline(t *testing.T) {
