Pause calls to an endpoint that had no storage for any piece

An endpoint without storage got the same pieces again and again until their deadline: 777 calls in 8 s for one job, at an endpoint that truthfully reports that nothing is free. Each call takes its time.

Cause: a call without storage ended the endpoint's backoff.

--- a/internal/core/gather/endpoint.go
+++ b/internal/core/gather/endpoint.go
@@ -163,14 +163,18 @@
 		return
 	}
 	e.observeCallTime(now.Sub(c.startedAt), c.expectedTime)
-	e.backoff = 0
-	outOfStorage := false
+	outOfStorage, hasResults := false, false
 	for i, r := range c.refs {
 		if h := results[i].Handle; h != "" {
 			e.addResult(h, r.job.ResultBytes, expiresAt)
+			hasResults = true
 		}
 		outOfStorage = outOfStorage || results[i].Failure == port.PieceNoSpace
 	}
+	e.backoff = 0
+	if outOfStorage && !hasResults {
+		e.backoffUntil = now.Add(minBackoff)
+	}
 	if outOfStorage {
 		// Results of another coordinator, or results whose free request was lost,
 		// take up the storage.
