Go on pinging a host that was not known for a moment

What callers saw: requests to the host hung, and a call carried for an owner went on after the owner was cut off.

Cause: pingWhileInFlight returned when the host was not known at that moment (a new host, or a lapsed lease) and left its entry in Group.inFlight. Found by a review.

Change: the host is not pinged while it is not known, and again once it is.

--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,6 +162,42 @@
 	})
 }
 
+// Guards against requests that hang, and carried calls that go on, because the pings of a host ended
+// while it was not known for a moment.
+func TestHostThatIsKnownAgainIsPinged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{unresponsive: make(map[string]bool)}
+		g := newGroup(transport)
+		defer func() { g.cancel(); synctest.Wait() }()
+		all := g.cfg.Hosts()
+		var known atomic.Bool
+		g.cfg.Hosts = func() map[string]facts.Host {
+			hosts := maps.Clone(all)
+			if !known.Load() {
+				delete(hosts, "a")
+			}
+			return hosts
+		}
+		reachable, release := g.WhileReachable("a")
+		defer release()
+		<-time.After(time.Second)
+		known.Store(true)
+		<-time.After(time.Second)
+		is.NoErr(reachable.Err())
+		transport.setUnresponsive(true, "a")
+		startedAt := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := g.Ask(ctx, "a", "work", nil)
+		synctest.Wait()
+		t.Logf("the request ended after %v, the carried call: %v", time.Since(startedAt), reachable.Err())
+		is.True(err != nil)
+		is.True(time.Since(startedAt) <= inFlightPingInterval+pingTimeout)
+		is.True(reachable.Err() != nil)
+	})
+}
+
 func TestCancelledRequestSuspectsNoHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -74,7 +74,7 @@
 }
 
 // WhileReachable returns a context that ends once a ping of another host fails, or release is
-// called. The host is pinged meanwhile, as long as it is known.
+// called. The host is pinged meanwhile whenever it is known.
 func (g *Group) WhileReachable(id string) (ctx context.Context, release func()) {
 	requests, _ := g.beginRequest(id)
 	ctx, cancel := context.WithCancel(requests.ctx)
@@ -86,14 +86,17 @@
 
 // pingWhileInFlight pings a host at inFlightPingInterval while requests to it are
 // in flight. After a failed ping it suspects the host, pings the next candidates,
-// and cancels these requests. It also ends if the host is no longer known.
+// and cancels these requests. A host that is not known is not pinged until it is again.
 func (g *Group) pingWhileInFlight(id string, requests *hostRequests) {
 	for {
 		port.Sleep(requests.ctx, inFlightPingInterval)
 		host, known := g.cfg.Hosts()[id]
-		if requests.ctx.Err() != nil || !known {
+		if requests.ctx.Err() != nil {
 			return
 		}
+		if !known {
+			continue
+		}
 		_, err := g.ping(requests.ctx, host.Address, nil)
 		if err == nil || requests.ctx.Err() != nil {
 			continue
