Probe an endpoint whose response has ended only while time is left

What callers saw: a response without length or chunks that was whole was broken off if under about 0.6 s were left and its endpoint was silent, for example because it was busy.

Cause: two probes of 300 ms each were made up to the deadline. If the deadline ended one, the response counted as cut, although silence is no refusal.

Change: the probes end deadlineMargin before the deadline, and what they have not found out by then counts as silence.

Evidence: TestWholeResponseIsNotLostToAProbeAtItsDeadline has eight cases, at 700, 550, 300 and 150 ms before the deadline for two kinds of route. Six of them fail before the change, all but those at 700 ms; all pass after it. TestResponseUntilCloseIsWholeOnlyIfItsEndpointGoesOn passes unchanged.

--- a/internal/exchange/untilclose.go
+++ b/internal/exchange/untilclose.go
@@ -27,6 +27,9 @@
 // have at the deadline.
 var errCutAtClose = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, "endpoint ended with the response")}
 
+// errProbesEnded is the cause of the end of probes that leave time for the end of the response.
+var errProbesEnded = errors.New("no time is left for probes")
+
 // checkEnd has the body of a response that ends with its connection return io.EOF only if its
 // endpoint goes on: the system closes the connections of an endpoint that is killed in the same
 // way as the endpoint does after its last byte. Between two events nothing else tells them apart.
@@ -57,6 +60,9 @@
 	if r.cfg.Health.Rest(e) > 0 {
 		return false
 	}
+	// A probe that the deadline ends would lose a response that is whole.
+	ctx, stop := context.WithTimeoutCause(ctx, r.remainingTime()-deadlineMargin, errProbesEnded)
+	defer stop()
 	refused, silent := 0, 0
 	for refused < refusedProbes && silent < silentProbes {
 		probeCtx, cancel := context.WithTimeout(ctx, endProbeTimeout)
@@ -66,6 +72,8 @@
 		switch {
 		case err == nil:
 			return false
+		case context.Cause(ctx) == errProbesEnded:
+			return false
 		case ctx.Err() != nil: // the attempt was given up, or its caller has gone
 			return true
 		case timedOut:
--- a/internal/exchange/untilclose_test.go
+++ b/internal/exchange/untilclose_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -174,3 +175,32 @@
 		}
 	}
 }
+
+// TestWholeResponseIsNotLostToAProbeAtItsDeadline guards against whole responses that are broken
+// off because their deadline comes while their endpoint, which is busy, is probed.
+func TestWholeResponseIsNotLostToAProbeAtItsDeadline(t *testing.T) {
+	for _, left := range []time.Duration{700 * time.Millisecond, 550 * time.Millisecond, 300 * time.Millisecond, 150 * time.Millisecond} {
+		for _, kind := range []catalog.RouteKind{catalog.AtMostOnce, catalog.Stream} {
+			t.Run(fmt.Sprint(kind, " ", left, " before"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) {
+						r.Kind, r.MaxAttempts, r.Timeout = kind, 2, time.Minute
+					})
+					h.forward = func(_ context.Context, _ int, _ *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+						time.Sleep(time.Minute - left)
+						return read(&port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: port.LengthUntilClose, Body: strings.NewReader(eventsBegun)})
+					}
+					h.probe = func(ctx context.Context, _ int) error {
+						<-ctx.Done()
+						return ctx.Err()
+					}
+					c := &soakCaller{}
+					h.exchange(c)
+					h.monitor.Close()
+					is.True(c.finished)
+				})
+			})
+		}
+	}
+}
