Take a refusal of the carriers for no sign that an endpoint has ended

What callers saw: on a host that reaches an endpoint over others, a whole response without length or chunks of a request that may run once was broken off if the carriers were full or the endpoint had asked them for rest.

Cause: a probe that no carrier sends fails at once with CodeNoCapacity, and two such failures counted as refusals by the endpoint.

Change: CodeNoCapacity says that the endpoint was not asked and counts as silence.

Evidence: both cases of TestResponseUntilCloseIsWholeWhileCarriersRefuse fail before the change and pass after it. The tests of killed endpoints and of responses until close in internal/exchange and platform pass unchanged.

--- a/internal/exchange/untilclose.go
+++ b/internal/exchange/untilclose.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -54,8 +55,8 @@
 }
 
 // refusesProbes reports whether an endpoint's connections break and it takes no new ones, nor do
-// other hosts reach it if this one has lost its path. Silence is no refusal, and an endpoint that
-// rests is not asked.
+// other hosts reach it if this one has lost its path. Silence is no refusal, nor is one of the
+// carriers, and an endpoint that rests is not asked.
 func (r *exchangeRun) refusesProbes(ctx context.Context, e *catalog.Endpoint) bool {
 	if r.cfg.Health.Rest(e) > 0 {
 		return false
@@ -76,7 +77,7 @@
 			return false
 		case ctx.Err() != nil: // the attempt was given up, or its caller has gone
 			return true
-		case timedOut:
+		case timedOut || verdict.From(err).Code == verdict.CodeNoCapacity: // in the latter case, not asked
 			silent++
 		default:
 			refused++
--- a/internal/exchange/untilclose_test.go
+++ b/internal/exchange/untilclose_test.go
@@ -204,3 +204,28 @@
 		}
 	}
 }
+
+// TestResponseUntilCloseIsWholeWhileCarriersRefuse guards against whole responses that are broken
+// off because the carriers rest or are full, which says nothing about their endpoint.
+func TestResponseUntilCloseIsWholeWhileCarriersRefuse(t *testing.T) {
+	for _, reason := range []string{"endpoint has asked all carriers for rest", "no host carries the call"} {
+		t.Run(reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) {
+					r.Kind, r.MaxAttempts, r.Timeout = catalog.AtMostOnce, 2, time.Minute
+				})
+				h.forward = func(_ context.Context, _ int, _ *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+					return read(&port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: port.LengthUntilClose, Carrier: "edge-1", Body: strings.NewReader(eventsBegun)})
+				}
+				h.probe = func(context.Context, int) error {
+					return verdict.Wrap(&port.NotReachedError{Err: errors.New(reason)}, verdict.CodeNoCapacity, verdict.NotRun, reason).WithRetryAfter(time.Second)
+				}
+				c := &soakCaller{}
+				h.exchange(c)
+				h.monitor.Close()
+				is.True(c.finished)
+			})
+		})
+	}
+}
