Cut a response whose endpoint's address another endpoint has

What callers saw: a stream without length or chunks looked complete although its endpoint had been killed, if another one responded at its address.

Cause: the probe that tells a killed endpoint from one that goes on named no endpoint, and any response to it counted.

The report says so if another endpoint responded (421), also over carriers, and the response then counts as cut. A worker that is killed behind a listener that goes on under the same id can't be told apart.

--- a/internal/exchange/untilclose.go
+++ b/internal/exchange/untilclose.go
@@ -55,8 +55,8 @@
 }
 
 // refusesProbes reports whether an endpoint's connections break and it takes no new ones, nor do
-// other hosts reach it if this one has lost its path. Silence is no refusal, nor is one of the
-// carriers, and an endpoint that rests is not asked.
+// other hosts reach it if this one has lost its path, or another endpoint has its address. Silence
+// is no refusal, nor is one of the carriers, and an endpoint that rests is not asked.
 func (r *exchangeRun) refusesProbes(ctx context.Context, e *catalog.Endpoint) bool {
 	if r.cfg.Health.Rest(e) > 0 {
 		return false
@@ -67,12 +67,12 @@
 	refused, silent := 0, 0
 	for refused < refusedProbes && silent < silentProbes {
 		probeCtx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-		_, err := r.cfg.Endpoints.Probe(probeCtx, e, false)
+		report, err := r.cfg.Endpoints.Probe(probeCtx, e, false)
 		timedOut := probeCtx.Err() != nil
 		cancel()
 		switch {
 		case err == nil:
-			return false
+			return report.Misdirected
 		case context.Cause(ctx) == errProbesEnded:
 			return false
 		case ctx.Err() != nil: // the attempt was given up, or its caller has gone
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -250,6 +250,8 @@
 	// FreeBytes is the free space for results in bytes, reported in whole MB and
 	// some hundred milliseconds old; negative if not reported.
 	FreeBytes int64
+	// Misdirected means that another endpoint responded, which has the address now.
+	Misdirected bool
 }
 
 // StorePosition is a position in the history of a store. A store that was restored
--- a/internal/relay/carried.go
+++ b/internal/relay/carried.go
@@ -133,7 +133,7 @@
 		return cbor.Marshal(callReply{Failure: refuse(verdict.CodeEndpointFailed, err.Error())})
 	}
 	c.recordResponse(e)
-	return cbor.Marshal(callReply{FreeBytes: report.FreeBytes})
+	return cbor.Marshal(callReply{FreeBytes: report.FreeBytes, Misdirected: report.Misdirected})
 }
 
 func badRequest(err error) error {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -164,7 +164,7 @@
 	err := c.overCarriers(ctx, e, func(host string) error {
 		reply, err := c.call(ctx, host, kindProbe, e, probeRequest{Endpoint: refTo(e), Report: true})
 		if err == nil {
-			report.FreeBytes = reply.FreeBytes
+			report = port.EndpointReport{FreeBytes: reply.FreeBytes, Misdirected: reply.Misdirected}
 		}
 		return err
 	})
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -144,6 +144,8 @@
 	Failure   *failure           `cbor:"3,keyasint,omitempty"`
 	// Notice is what the carrier knows the endpoint to say of itself.
 	Notice port.EndpointNotice `cbor:"4,keyasint"`
+	// Misdirected is that of the report.
+	Misdirected bool `cbor:"5,keyasint,omitempty"`
 }
 
 // failure is an error of a carrier.
