--- a/internal/exchange/untilclose.go
+++ b/internal/exchange/untilclose.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -27,6 +28,9 @@
 // have at the deadline.
 var errCutAtClose = &port.ConnectionLostError{Err: errors.Wrap(io.ErrUnexpectedEOF, "endpoint ended with the response")}
 
+// errProbesEnded is the cause of the end of probes that leave time for the end of the response.
+var errProbesEnded = errors.New("no time is left for probes")
+
 // checkEnd has the body of a response that ends with its connection return io.EOF only if its
 // endpoint goes on: the system closes the connections of an endpoint that is killed in the same
 // way as the endpoint does after its last byte. Between two events nothing else tells them apart.
@@ -51,24 +55,29 @@
 }
 
 // refusesProbes reports whether an endpoint's connections break and it takes no new ones, nor do
-// other hosts reach it if this one has lost its path. Silence is no refusal, and an endpoint that
-// rests is not asked.
+// other hosts reach it if this one has lost its path, or another endpoint has its address. Silence
+// is no refusal, nor is one of the carriers, and an endpoint that rests is not asked.
 func (r *exchangeRun) refusesProbes(ctx context.Context, e *catalog.Endpoint) bool {
 	if r.cfg.Health.Rest(e) > 0 {
 		return false
 	}
+	// A probe that the deadline ends would lose a response that is whole.
+	ctx, stop := context.WithTimeoutCause(ctx, r.remainingTime()-deadlineMargin, errProbesEnded)
+	defer stop()
 	refused, silent := 0, 0
 	for refused < refusedProbes && silent < silentProbes {
 		probeCtx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-		_, err := r.cfg.Endpoints.Probe(probeCtx, e, false)
+		report, err := r.cfg.Endpoints.Probe(probeCtx, e, false)
 		timedOut := probeCtx.Err() != nil
 		cancel()
 		switch {
 		case err == nil:
+			return report.Misdirected
+		case context.Cause(ctx) == errProbesEnded:
 			return false
 		case ctx.Err() != nil: // the attempt was given up, or its caller has gone
 			return true
-		case timedOut:
+		case timedOut || verdict.From(err).Code == verdict.CodeNoCapacity: // in the latter case, not asked
 			silent++
 		default:
 			refused++
