Have carriers end repeatable calls of owners they can't reach

A request that may be repeated, or a resumable stream, went on at a second endpoint while a carrier kept the first at work on it, for up to the whole rest of its time: the second form of the users' TWICE.

An owner that loses its path to a carrier finds out by its pings within 0.65 s and goes on elsewhere. Its cancel doesn't arrive then, and the carrier had no way to notice: the connection doesn't close, and it ended a call only if the owner didn't read and too much of the response was unread.

The carrier now pings the owner while it carries such calls for it, as an owner pings a carrier (Group.WhileReachable), and cancels them once a ping fails. The owner is told that the call may have run; that counts as no crash of the endpoint. Requests that run at most once go on: they are sent nowhere else. An owner that is paused, or answers no ping for 0.4 s, loses such calls too, and they run again elsewhere.

Found by reading the code.

--- a/internal/exchange/pathloss_soak_test.go
+++ b/internal/exchange/pathloss_soak_test.go
@@ -206,6 +206,21 @@
 // HandleWhileConnected implements relay.Peers.
 func (h *pathHost) HandleWhileConnected(kind string, fn port.RequestHandler) { h.handlers[kind] = fn }
 
+// WhileReachable implements relay.Peers.
+func (h *pathHost) WhileReachable(id string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	to := h.host(id)
+	go func() {
+		defer cancel()
+		select {
+		case <-to.ctx.Done():
+		case <-to.suspected(ctx):
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // Ask implements relay.Peers. A request to a host that is killed meanwhile may have run.
 func (h *pathHost) Ask(ctx context.Context, id, kind string, payload []byte) ([]byte, error) {
 	to := h.host(id)
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -136,6 +136,30 @@
 	})
 }
 
+// TestHostIsWatchedWithoutRequests guards against a carrier that does not notice that the owner
+// of a call has lost its path to it.
+func TestHostIsWatchedWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{unresponsive: make(map[string]bool)}
+		g := newGroup(transport)
+		defer func() { g.cancel(); synctest.Wait() }()
+		ctx, release := g.WhileReachable("a")
+		other, releaseOther := g.WhileReachable("a")
+		<-time.After(10 * time.Second)
+		releaseOther()
+		is.NoErr(ctx.Err())
+		is.True(other.Err() != nil)
+		transport.setUnresponsive(true, "a")
+		<-time.After(inFlightPingInterval + pingTimeout + time.Millisecond)
+		synctest.Wait()
+		is.True(ctx.Err() != nil)
+		release()
+		release()
+		is.Equal(len(g.inFlight), 0)
+	})
+}
+
 func TestCancelledRequestSuspectsNoHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/peering/reachability.go
+++ b/internal/peering/reachability.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 
 	"github.com/pimentorill/pimentorill/internal/core/membership"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -72,6 +73,17 @@
 	}
 }
 
+// WhileReachable returns a context that ends once a ping of another host fails, or release is
+// called. The host is pinged meanwhile, as long as it is known.
+func (g *Group) WhileReachable(id string) (ctx context.Context, release func()) {
+	requests, _ := g.beginRequest(id)
+	ctx, cancel := context.WithCancel(requests.ctx)
+	return ctx, sync.OnceFunc(func() {
+		cancel()
+		g.endRequest(id, requests)
+	})
+}
+
 // pingWhileInFlight pings a host at inFlightPingInterval while requests to it are
 // in flight. After a failed ping it suspects the host, pings the next candidates,
 // and cancels these requests. It also ends if the host is no longer known.
--- a/internal/relay/carried.go
+++ b/internal/relay/carried.go
@@ -205,7 +205,7 @@
 }
 
 // handleForward starts an exchange for another host and returns its first progress.
-func (c *carried) handleForward(ctx context.Context, _ port.Member, payload []byte) ([]byte, error) {
+func (c *carried) handleForward(ctx context.Context, from port.Member, payload []byte) ([]byte, error) {
 	var r forwardRequest
 	if err := cbor.Unmarshal(payload, &r); err != nil {
 		return nil, badRequest(err)
@@ -218,7 +218,7 @@
 	if x == nil {
 		return cbor.Marshal(progress{Failure: refuse(verdict.CodeNoCapacity, "this host carries no more exchanges")})
 	}
-	go c.run(runCtx, x, r.ID, r.decode(e))
+	go c.run(runCtx, x, r.ID, from.ID, r.decode(e))
 	return c.awaitProgress(ctx, x, readRequest{ID: r.ID})
 }
 
@@ -242,14 +242,27 @@
 	return x, ctx
 }
 
-// run forwards the exchange to its endpoint.
-func (c *carried) run(ctx context.Context, x *carriedExchange, id string, r *port.EndpointRequest) {
+// errOwnerUnreachable ends a call that its owner may make elsewhere meanwhile.
+var errOwnerUnreachable = verdict.New(verdict.CodeNoCapacity, verdict.MayHaveRun, "the owner does not respond")
+
+// run forwards the exchange of a host, its owner, to its endpoint.
+func (c *carried) run(ctx context.Context, x *carriedExchange, id, owner string, r *port.EndpointRequest) {
+	reachable := context.Background()
+	if r.MayRepeat {
+		var release func()
+		reachable, release = c.cfg.Peers.WhileReachable(owner)
+		defer release()
+		defer context.AfterFunc(reachable, x.cancel)()
+	}
 	err := c.cfg.Direct.Forward(ctx, r, func(response *port.EndpointResponse) error {
 		c.recordResponse(r.Endpoint)
 		head := encodeHead(response, c.cfg.notice(r.Endpoint))
 		x.change(func() { x.head, x.headAt = head, c.cfg.Clock.Now() })
 		return c.receive(ctx, x, response.Body)
 	})
+	if err != nil && reachable.Err() != nil {
+		err = errOwnerUnreachable
+	}
 	x.cancel()
 	x.change(func() {
 		x.ended = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,7 +14,8 @@
 // has not been read, up to a limit, and then stops reading from the endpoint, so that a
 // slow caller slows the endpoint down. The owner always has a read in progress unless its
 // caller is slow; a carrier whose connection to the owner breaks, or that hears nothing of
-// it for long, cancels the call.
+// it for long, cancels the call. A call that may be repeated goes on elsewhere once its owner
+// finds the carrier unreachable, so the carrier cancels it once it finds the owner so.
 package relay
 
 import (
@@ -55,6 +56,9 @@
 	// HandleWhileConnected is like Handle, but the context of the handler also ends when
 	// the requester's connection closes.
 	HandleWhileConnected(kind string, fn port.RequestHandler)
+	// WhileReachable returns a context that ends once another host does not respond, or
+	// release is called.
+	WhileReachable(host string) (ctx context.Context, release func())
 }
 
 // Paths knows this host's paths to the endpoints. *health.Monitor implements it.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -30,6 +30,15 @@
 	hosts    map[string]facts.Host
 	// gone holds a channel for each host, which is closed once the host is gone.
 	gone map[string]chan struct{}
+	// lost, unless nil, reports whether a message between hosts is lost now; a reply has the
+	// kind of its request.
+	lost func(from, to, kind string) bool
+}
+
+func (n *network) loses(from, to, kind string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lost != nil && n.lost(from, to, kind)
 }
 
 // peerOf is a host's connection to the others.
@@ -66,9 +75,14 @@
 			return
 		default:
 		}
+		if p.loses(p.self, host, kind) {
+			return
+		}
 		payload, err := fn(context.Background(), port.Member{ID: p.self}, payload)
 		<-time.After(time.Millisecond)
-		replies <- reply{payload, err}
+		if !p.loses(host, p.self, kind) {
+			replies <- reply{payload, err}
+		}
 	}()
 	select {
 	case r := <-replies:
@@ -89,6 +103,21 @@
 	p.handlers[p.self][kind] = fn
 }
 
+// WhileReachable pings the host as peering does.
+func (p peerOf) WhileReachable(host string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for ctx.Err() == nil {
+			port.Sleep(ctx, 250*time.Millisecond)
+			if p.loses(p.self, host, "ping") || p.loses(host, p.self, "ping") {
+				port.Sleep(ctx, 400*time.Millisecond)
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 func (p peerOf) HandleWhileConnected(kind string, fn port.RequestHandler) { p.Handle(kind, fn) }
 
 // fakeClient is the connections of one host to an endpoint.
