Send the cancel of a carried call until it arrives

TestCancelIsSentUntilItArrives loses all notices for 0.6 s: on the code before, the call goes on until its deadline; now it has ended 0.5 s after notices arrive again. The notice is sent again every 0.5 s at most, for up to 10 s or until the carrier is no longer known. Carriers take a cancel more than once.

Found by reading the code; the soak of processes has shown no case.

--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 const (
@@ -26,8 +27,13 @@
 	maxAsked = 12
 	// wantedCarriers is the number of carriers among which the load is spread.
 	wantedCarriers = 3
-	// askTimeout bounds the question whether a host reaches an endpoint.
+	// askTimeout bounds the question whether a host reaches an endpoint, and the wait for the
+	// response to a notice.
 	askTimeout = 400 * time.Millisecond
+	// noticeInterval is the pause before a notice is sent again, and noticeTimeout the time
+	// after which it is given up.
+	noticeInterval = 100 * time.Millisecond
+	noticeTimeout  = 10 * time.Second
 )
 
 // carriers are the hosts that carry calls for this one. It is safe for concurrent use.
@@ -275,11 +281,20 @@
 	return err
 }
 
-// notify sends a notice to a carrier without waiting for the response.
+// notify sends a notice to a carrier, again until it responds or noticeTimeout has passed. It
+// doesn't wait for that.
 func (c *carriers) notify(host, kind string, payload []byte) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
-		_, _ = c.cfg.Peers.Ask(ctx, host, kind, payload)
+		for ctx.Err() == nil {
+			askCtx, cancel := context.WithTimeout(ctx, askTimeout)
+			_, err := c.cfg.Peers.Ask(askCtx, host, kind, payload)
+			cancel()
+			if _, known := c.cfg.Hosts()[host]; err == nil || !known {
+				return
+			}
+			port.Sleep(ctx, noticeInterval)
+		}
 	}()
 }
--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -56,3 +56,19 @@
 		})
 	}
 }
+
+// TestCancelIsSentUntilItArrives guards against endpoints that work on for a request that was
+// given up, because the only notice to the carrier was lost.
+func TestCancelIsSentUntilItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, respond(longStream))
+		intactAt := time.Now().Add(2600 * time.Millisecond)
+		f.lost = func(_, _, kind string) bool { return kind == kindCancel && time.Now().Before(intactAt) }
+		is.Equal(carryUntil(t, f, false, 2*time.Second), 0)
+		<-time.After(700 * time.Millisecond)
+		_, ended := f.counts()
+		is.Equal(ended, 1)
+		<-time.After(30 * time.Second)
+	})
+}
