Go on elsewhere only once a carrier has had time to cancel

A request went on at a second endpoint more than 0.4 s before a carrier that had just been cut off from the owner could notice it (TWICE): the owner may give a call up for another reason, such as a stalled stream, right after the cut, and the carrier's pings take up to 0.65 s to fail.

Host 2 was cut from the others at 6.70 s, gave up a stalled stream over host 5 at 6.81 s and ended it at another endpoint; the notice to cancel was lost, and the first endpoint worked on for 1.62 s.

TestCallIsGivenUpOnlyOnceItsCarrierCanKnow fails on the code before.

The stand-in of the tests leaked the writer of a response that was not read to its end, which ended 1 of some 100 runs; it now ends it.

--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -282,9 +282,11 @@
 }
 
 // notify sends a notice to a carrier, again until it responds or noticeTimeout has passed. It
-// doesn't wait for that.
-func (c *carriers) notify(host, kind string, payload []byte) {
+// doesn't wait for that; the channel is closed then.
+func (c *carriers) notify(host, kind string, payload []byte) <-chan struct{} {
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
 		for ctx.Err() == nil {
@@ -297,4 +299,5 @@
 			port.Sleep(ctx, noticeInterval)
 		}
 	}()
+	return ended
 }
--- a/internal/relay/owner_test.go
+++ b/internal/relay/owner_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -17,8 +18,8 @@
 func carryUntil(t *testing.T, f *fleet, mayRepeat bool, d time.Duration) int {
 	is := is.New(t)
 	is.NoErr(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint))
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(d, cancel)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	time.AfterFunc(d, func() { cancel(errors.New("no answer in time")) })
 	r := &port.EndpointRequest{Exchange: &port.Exchange{ID: "a1", Method: "POST"}, Endpoint: f.endpoint, Remaining: 20 * time.Second, MayRepeat: mayRepeat}
 	err := f.clients[0].Forward(ctx, r, func(response *port.EndpointResponse) error {
 		_, err := io.Copy(io.Discard, response.Body)
@@ -57,6 +58,21 @@
 	}
 }
 
+// TestCallIsGivenUpOnlyOnceItsCarrierCanKnow guards against a request that goes on at another
+// endpoint just after the carrier was cut off, which can't know that yet.
+func TestCallIsGivenUpOnlyOnceItsCarrierCanKnow(t *testing.T) {
+	for cutAfter := 1700 * time.Millisecond; cutAfter < 2100*time.Millisecond; cutAfter += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(2, respond(longStream))
+			cutAt := time.Now().Add(cutAfter)
+			f.lost = func(string, string, string) bool { return time.Now().After(cutAt) }
+			is.Equal(carryUntil(t, f, true, cutAfter+20*time.Millisecond), 1)
+			<-time.After(30 * time.Second)
+		})
+	}
+}
+
 // TestCancelIsSentUntilItArrives guards against endpoints that work on for a request that was
 // given up, because the only notice to the carrier was lost.
 func TestCancelIsSentUntilItArrives(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -253,6 +253,7 @@
 		r, w := io.Pipe()
 		stop := context.AfterFunc(ctx, func() { _ = r.CloseWithError(ctx.Err()) })
 		defer stop()
+		defer r.Close() // ends a write after the last read
 		go func() { _ = w.CloseWithError(fn(w)) }()
 		return read(&port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: -1, Body: r})
 	}
