Have a piece wait for a place until its deadline

Cause: a piece fails once it has been in four calls. Calls that an endpoint refused, and pieces for which it had no storage, counted. While several hosts call the same endpoints, as after the loss of the host that gathers the work, four such calls pass in less than a second.

Change: only calls that may have run the piece count. The deadline bounds the rest, as it does for pieces that wait for a call.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// maxPieceAttempts bounds how often a piece is sent to an endpoint.
+	// maxPieceAttempts bounds how often a piece is sent to an endpoint that may run it.
 	maxPieceAttempts = 4
 	// A call times out after callTimeoutFactor times its expected duration,
 	// including the endpoint's slowdown, plus callTimeoutSlack.
@@ -157,7 +157,7 @@
 	startedAt time.Time
 	// handles, zones and attempts are indexed by piece: the handle of its result
 	// and the zone where that is stored, empty until the piece is done, and the
-	// number of calls it was added to.
+	// number of calls that may have run it.
 	handles  []string
 	zones    []string
 	attempts []int
@@ -300,7 +300,7 @@
 		r.job.inFlight--
 		affected[r.job] = true
 		if err != nil {
-			r.job.waiting = append(r.job.waiting, r.index)
+			r.job.putBack(r.index, notRun)
 			continue
 		}
 		switch results[i].Failure {
@@ -310,7 +310,7 @@
 		case port.PieceDeadlineExceeded, port.PieceInputMissing:
 			out = q.failUnlessAbandoned(out, r.job, results[i].Failure)
 		default:
-			r.job.waiting = append(r.job.waiting, r.index)
+			r.job.putBack(r.index, results[i].Failure == port.PieceNoSpace)
 		}
 	}
 	for p := range affected {
@@ -319,6 +319,15 @@
 	return out
 }
 
+// putBack has a piece wait for another call. One that its endpoint had no place or no storage
+// for has not used up an attempt: only the deadline bounds its wait for another.
+func (p *pendingJob) putBack(index int, notRun bool) {
+	p.waiting = append(p.waiting, index)
+	if notRun {
+		p.attempts[index]--
+	}
+}
+
 // failUnlessAbandoned fails a job and appends it to out, unless it was cancelled
 // or has failed before.
 func (q *Queue) failUnlessAbandoned(out []FinishedJob, p *pendingJob, reason port.PieceFailure) []FinishedJob {
