Believe the end of a response that ends with its connection only if its endpoint goes on

Cause: the end of such a response is that of its connection. The system closes the connections of a process that is killed as the process does after the last byte; it resets only those with unread bytes. Between two events nothing tells them apart.

Change: at the end of such a response its endpoint is probed. If its connections break and it takes no new ones, the response counts as cut: a stream that may be resumed goes on elsewhere, another one is broken off. The same at the deadline, at which endpoints stop. Silence is no such sign, and one that leaves may end after its last response, so that a request that can't be repeated keeps what it has. The content length of such a response was lost on the way to the exchange.

One probe for each response that ends with its connection; other responses as before.

--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -8,13 +8,15 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 const (
 	// lengthChunked and lengthUntilClose are the content lengths that fasthttp
 	// returns for a chunked body and for one that ends with the connection.
 	lengthChunked    = -1
-	lengthUntilClose = -2
+	lengthUntilClose = port.LengthUntilClose
 	// maxHeadersPerResponse limits the headers read for one response: those of the
 	// interim responses (1xx) and that of the final one.
 	maxHeadersPerResponse = 4
@@ -47,7 +49,8 @@
 // attachBody sets a body stream on resp that returns io.EOF only after the
 // complete body. fasthttp's own stream treats the end of the connection between
 // two chunks as the end of the body. It sets no stream if the response has no body,
-// which noBody says regardless of the header.
+// which noBody says regardless of the header. The content length of a body that ends with the
+// connection stays lengthUntilClose.
 func (c *conn) attachBody(resp *fasthttp.Response, noBody bool) {
 	r := c.reader
 	status := resp.StatusCode()
@@ -59,9 +62,9 @@
 		resp.SetBodyStream(NewChunkedReader(r), -1)
 	case lengthUntilClose:
 		if c.reset { // no end is proper
-			resp.SetBodyStream(&fixedLengthBody{r: r, remaining: math.MaxInt}, -1)
+			resp.SetBodyStream(&fixedLengthBody{r: r, remaining: math.MaxInt}, lengthUntilClose)
 		} else {
-			resp.SetBodyStream(r, -1)
+			resp.SetBodyStream(r, lengthUntilClose)
 		}
 		resp.SetConnectionClose()
 	default:
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -167,6 +167,7 @@
 	err := r.cfg.Endpoints.Forward(ctx, request, func(response *port.EndpointResponse) error {
 		silence.Stop()
 		load = response.Load
+		r.checkEnd(ctx, e, response)
 		return r.handleResponse(ctx, response, failover, startedAt)
 	})
 	r.record.gaveUp = failover.end()
--- a/internal/exchange/scripted_test.go
+++ b/internal/exchange/scripted_test.go
@@ -26,6 +26,9 @@
 	// forward replaces the soak's Forward. n counts the calls from 1.
 	forward func(ctx context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error
 	calls   int
+	// probe replaces the soak's Probe unless it is nil. n counts the calls from 1.
+	probe  func(ctx context.Context, n int) error
+	probes int
 	// prompt is that of the requests.
 	prompt []port.PromptPart
 	// runPieces replaces the soak's RunPieces; the endpoint "p0" of the service "prep" is
@@ -41,6 +44,13 @@
 	if e.Service == "prep" {
 		return port.EndpointReport{FreeBytes: -1}, nil
 	}
+	if h.probe != nil {
+		h.mu.Lock()
+		h.probes++
+		n := h.probes
+		h.mu.Unlock()
+		return port.EndpointReport{FreeBytes: -1}, h.probe(ctx, n)
+	}
 	return h.soak.Probe(ctx, e, fresh)
 }
 
--- a/internal/exchange/untilclose_test.go
+++ b/internal/exchange/untilclose_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -81,3 +85,92 @@
 		}
 	}
 }
+
+// TestResponseUntilCloseIsWholeOnlyIfItsEndpointGoesOn guards against a response without length that
+// looks complete although its endpoint was killed, or stopped at the deadline: the connection is
+// closed then, as after the last byte.
+func TestResponseUntilCloseIsWholeOnlyIfItsEndpointGoesOn(t *testing.T) {
+	refused := verdict.Wrap(&port.NotReachedError{Err: errors.New("connection refused")}, verdict.CodeEndpointFailed, verdict.NotRun, "no report")
+	for name, tc := range map[string]struct {
+		probes []error // nil for a response; the last one is repeated
+		silent bool    // instead of errors, there is no response
+		left   bool    // the endpoint's registration has gone
+		late   bool    // the response ends at the deadline
+		whole  bool    // of a request that may run once
+		goesOn bool    // of one that may be repeated: it is sent again
+	}{
+		"goes on":                     {probes: []error{nil}, whole: true},
+		"closed an idle connection":   {probes: []error{refused, nil}, whole: true},
+		"killed":                      {probes: []error{refused}, goesOn: true},
+		"silent":                      {silent: true, whole: true},
+		"left":                        {probes: []error{refused}, left: true, whole: true, goesOn: true},
+		"stopped at the deadline":     {probes: []error{nil}, late: true, goesOn: true},
+		"left, stopped at the latest": {probes: []error{nil}, left: true, late: true, whole: true, goesOn: true},
+	} {
+		for _, kind := range []string{"events, once", "events, resumable", "plain, once", "plain, idempotent"} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					repeatable := kind == "events, resumable" || kind == "plain, idempotent"
+					h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) {
+						r.Kind, r.MaxAttempts, r.Timeout = catalog.AtMostOnce, 2, time.Minute
+						switch kind {
+						case "events, once":
+							r.Kind = catalog.Stream
+						case "events, resumable":
+							r.Kind, r.Resumable = catalog.Stream, true
+						case "plain, idempotent":
+							r.Kind, r.TargetLatency = catalog.Idempotent, time.Minute
+						}
+					})
+					h.forward = func(_ context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+						body := eventsBegun + eventsLeft
+						if n == 1 {
+							body = eventsBegun
+						} else if r.ResumeFrom != "" {
+							body = eventsLeft
+						}
+						response := &port.EndpointResponse{Status: 200, Signed: true, HasAttemptID: true, Length: port.LengthUntilClose, Body: strings.NewReader(body)}
+						if n > 1 {
+							response.Length = -1
+							return read(response)
+						}
+						if tc.left {
+							h.mu.Lock()
+							h.endpoints[r.Endpoint.ID].Draining = true
+							h.mu.Unlock()
+							h.publish()
+						}
+						if tc.late {
+							time.Sleep(time.Minute - deadlineMargin/2)
+						}
+						return read(response)
+					}
+					h.probe = func(ctx context.Context, n int) error {
+						if tc.silent {
+							<-ctx.Done()
+							return ctx.Err()
+						}
+						return tc.probes[min(n, len(tc.probes))-1]
+					}
+					c := &soakCaller{}
+					h.exchange(c)
+					h.monitor.Close()
+					switch {
+					case repeatable && tc.goesOn:
+						is.True(c.finished)
+						is.Equal(c.body.String(), eventsBegun+eventsLeft)
+						is.Equal(h.calls, 2)
+					case tc.whole:
+						is.True(c.finished)
+						is.Equal(c.body.String(), eventsBegun)
+						is.Equal(h.calls, 1)
+					default:
+						is.True(!c.finished)
+						is.Equal(verdict.Of(c.err), verdict.MayHaveRun)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -210,7 +210,7 @@
 func (m *Monitor) Verify(e *catalog.Endpoint) {
 	now := m.cfg.Clock.Now()
 	m.mu.Lock()
-	due := now.Sub(m.lastVerify) >= minVerifyInterval && m.rest(e) == 0
+	due := now.Sub(m.lastVerify) >= minVerifyInterval && m.Rest(e) == 0
 	if due {
 		m.lastVerify = now
 	}
@@ -248,7 +248,7 @@
 	for _, e := range usable {
 		s := m.states[e.Incarnation()]
 		switch {
-		case e.Zone != zone || s != nil && s.probing || m.rest(e) > 0:
+		case e.Zone != zone || s != nil && s.probing || m.Rest(e) > 0:
 		case s != nil && len(s.dependents) > 0:
 			busy = append(busy, e)
 		default:
@@ -330,7 +330,7 @@
 	var askPeersAt time.Time
 	var err error
 	for missed := 0; ; {
-		if rest := m.rest(e); rest > 0 {
+		if rest := m.Rest(e); rest > 0 {
 			port.Sleep(m.ctx, rest)
 		}
 		if missed < unreachableThreshold || !m.PathLost() {
@@ -360,8 +360,8 @@
 	}
 }
 
-// rest returns how long an endpoint is not to be probed.
-func (m *Monitor) rest(e *catalog.Endpoint) time.Duration {
+// Rest returns how long an endpoint is not to be probed, 0 if it may be.
+func (m *Monitor) Rest(e *catalog.Endpoint) time.Duration {
 	if m.cfg.Rest == nil {
 		return 0
 	}
--- a/internal/health/pathloss.go
+++ b/internal/health/pathloss.go
@@ -51,7 +51,7 @@
 	var others []*catalog.Endpoint
 	for _, e := range usable {
 		switch s := m.states[e.Incarnation()]; {
-		case m.rest(e) > 0:
+		case m.Rest(e) > 0:
 			resting++
 		case s == nil || !s.unreachable:
 			others = append(others, e)
@@ -94,7 +94,7 @@
 // anyOfSampleResponds probes pathSample of the endpoints, chosen at random, and reports
 // whether any responds. It changes the list.
 func (m *Monitor) anyOfSampleResponds(list []*catalog.Endpoint) bool {
-	list = slices.DeleteFunc(list, func(e *catalog.Endpoint) bool { return m.rest(e) > 0 })
+	list = slices.DeleteFunc(list, func(e *catalog.Endpoint) bool { return m.Rest(e) > 0 })
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	var probes sync.WaitGroup
 	responses := make(chan struct{}, pathSample)
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -104,9 +104,10 @@
 type EndpointResponse struct {
 	Status int
 	Header []HeaderField
-	// Body returns io.EOF only after the complete body was received.
+	// Body returns io.EOF only after the complete body was received, or at the end of the
+	// connection if Length is LengthUntilClose.
 	Body io.Reader
-	// Length is the size of the body in bytes, or -1 if unknown.
+	// Length is the size of the body in bytes, or -1 or LengthUntilClose if unknown.
 	Length int64
 	// NotRun means that the endpoint did not run and will not run the request. It is set only
 	// for a response that can't belong to another request.
@@ -128,6 +129,9 @@
 	Load *EndpointLoad
 }
 
+// LengthUntilClose is the Length of a body that ends with its connection.
+const LengthUntilClose = -2
+
 // EndpointLoad is the load that an endpoint reports in a response: the numbers of
 // requests, of all hosts, that it runs and queues, and how many it can run at
 // once.
