Ask no more endpoints for the end of a stream than the route allows

What callers saw: a stream that broke off and whose rest had no event was sent to one endpoint more than the route's max_attempts (BUDGET), where the endpoint that sent no event had left before it was asked again.

Evidence: TestEndIsAskedOfNoMoreEndpointsThanTheRouteAllows failed before in two of its four cases: three endpoints where the route allows two.

Change: if the endpoint has left and the route allows no other one, the stream is broken off at once. The caller may take it up again.

Result: the test passes; in its cases with three attempts the stream goes on.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -261,26 +261,29 @@
 		if err := r.cfg.Crashes.Check(r.exchange); err != nil {
 			return nil, err
 		}
-		err := r.rerunStages(ctx, lastErr)
-		if err == nil {
+		refusal := r.rerunStages(ctx, lastErr)
+		if refusal == nil {
 			if err := r.cfg.Crashes.Check(r.exchange); err != nil {
 				return nil, err
 			}
 			lastErr = nil
-			endpoints, criteria := r.candidates()
+			endpoints, criteria, err := r.candidates()
+			if err != nil {
+				return nil, err
+			}
 			if e := r.takeSuccessor(); e != nil {
 				return e, nil
 			}
 			if e := r.cfg.Balancer.Pick(endpoints, criteria); e != nil {
 				return e, nil
 			}
-			err = r.noEndpointError()
+			refusal = r.noEndpointError()
 			if r.mustGoOn {
 				clear(r.attempted) // an endpoint that refused once, or was silent, may do
 			}
 		}
 		if !r.mustGoOn || r.failedPlans >= maxFailedPlans || ctx.Err() != nil || r.ending.Err() != nil {
-			return nil, err
+			return nil, refusal
 		}
 		r.pause(ctx, failoverInterval<<r.failedPlans)
 	}
