--- a/internal/exchange/rest_test.go
+++ b/internal/exchange/rest_test.go
@@ -366,3 +366,46 @@
 		})
 	}
 }
+
+// lateReader sends its text once its context has ended, as a buffer does that was filled before.
+type lateReader struct {
+	ctx  context.Context
+	text io.Reader
+}
+
+func (r lateReader) Read(p []byte) (int, error) {
+	<-r.ctx.Done()
+	n, err := r.text.Read(p)
+	if err == io.EOF {
+		err = r.ctx.Err()
+	}
+	return n, err
+}
+
+// TestEventsOfAnAttemptThatWasGivenUpAreSentOnce guards against events that come twice, or in
+// another order, where an endpoint that was given up still delivers.
+func TestEventsOfAnAttemptThatWasGivenUpAreSentOnce(t *testing.T) {
+	for _, late := range []string{"", "id: 3\nda", "id: 3\ndata: a\n\n", "id: 3\ndata: a\n\nid: 4\ndata: a\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			h := newScriptedHost(3, ample, rand.NewPCG(1, 2), func(r *catalog.Route) { r.Kind, r.Resumable = catalog.Stream, true })
+			running := 0
+			h.forward = func(ctx context.Context, n int, r *port.EndpointRequest, read func(*port.EndpointResponse) error) error {
+				running++
+				defer func() { running-- }()
+				is.Equal(running, 1)
+				if n > 1 {
+					return soundStream(5, r.ResumeFrom).send(read)
+				}
+				body := io.MultiReader(strings.NewReader(soundStream(2, "").body), lateReader{ctx, strings.NewReader(late)})
+				return read(&port.EndpointResponse{Status: 200, Header: []port.HeaderField{{Name: "Content-Type", Value: eventStream}}, Signed: true, HasAttemptID: true, Length: -1, Body: body})
+			}
+			c := &headerCaller{}
+			h.exchange(c)
+			h.monitor.Close()
+			is.True(c.finished)
+			is.Equal(c.body.String(), soundStream(5, "").body)
+			is.Equal(h.calls, 2)
+		})
+	}
+}
