Log permit requests, and print the hosts' logs of a failed test

The line 'permit request' has level debug.

Measured: go test -race ./internal/app ./internal/testbed, one run: all passed.

--- a/internal/app/permits.go
+++ b/internal/app/permits.go
@@ -100,9 +100,18 @@
 // standaloneLeaseTime is the duration of a standalone host's lease.
 const standaloneLeaseTime = 100 * 365 * 24 * time.Hour
 
-// requestPermits implements permitRequester. It asks this host's issuer if this host
-// is standalone or holds the lease of the endpoint's zone.
+// requestPermits implements permitRequester. Each request is logged, at level debug.
 func (p *permitService) requestPermits(ctx context.Context, e release.Endpoint, req coldstart.PermitRequest) (coldstart.PermitReply, error) {
+	holder, _ := p.leaseHolder(e.AvailabilityZone)
+	reply, err := p.askIssuer(ctx, e, req)
+	p.app.deps.Log.Debug("permit request", slog.String("endpoint", e.ID), slog.String("holder", holder),
+		slog.Int("requested", req.Count), slog.Int("issued", len(reply.Permits)), slog.Bool("warm", reply.Status.Warm), slog.Any("error", err))
+	return reply, err
+}
+
+// askIssuer sends a permit request to the issuer of the endpoint's zone: this host's if it
+// is standalone or holds the zone's lease, else the lease holder's.
+func (p *permitService) askIssuer(ctx context.Context, e release.Endpoint, req coldstart.PermitRequest) (coldstart.PermitReply, error) {
 	deps := p.app.deps
 	if p.standalone || (e.AvailabilityZone == p.app.cfg.AvailabilityZone && p.lease(deps.Clock.Now()).Fence > 0) {
 		return p.issuer.Grant(deps.Clock.Now(), e, req)
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -58,19 +58,27 @@
 	config        Config
 	crashSwitches map[*daemon.Daemon]*crashSwitch
 	network       *network
+	// log receives the log lines of all hosts.
+	log *lastLines
 
 	mu   sync.Mutex
 	live []*daemon.Daemon
 }
 
 // Start starts a Cluster and waits until its hosts know each other and the zones'
-// lease holders. The cluster is closed when the test ends.
+// lease holders. The cluster is closed when the test ends; if the test has failed, the
+// last lines of the hosts' logs are printed.
 func Start(tb testing.TB, cfg Config) *Cluster {
 	tb.Helper()
 	cfg = withDefaults(cfg)
 	fleet, err := standin.StartFleet(cfg.Fleet)
 	requireNoError(tb, err)
-	c := &Cluster{Fleet: fleet, Store: standin.NewStore(standin.NewMemStore(port.SystemClock{})), HostList: standin.NewHostList(0), config: cfg, network: newNetwork(), crashSwitches: map[*daemon.Daemon]*crashSwitch{}}
+	c := &Cluster{Fleet: fleet, Store: standin.NewStore(standin.NewMemStore(port.SystemClock{})), HostList: standin.NewHostList(0), config: cfg, network: newNetwork(), crashSwitches: map[*daemon.Daemon]*crashSwitch{}, log: &lastLines{}}
+	tb.Cleanup(func() {
+		if tb.Failed() {
+			tb.Logf("the hosts' log:\n%s", c.log)
+		}
+	})
 	tb.Cleanup(c.close)
 	requireNoError(tb, c.Store.Start())
 	requireNoError(tb, c.HostList.Start())
@@ -124,14 +132,15 @@
 func (c *Cluster) StartHostWithoutWaiting(tb testing.TB, i int) *daemon.Daemon {
 	tb.Helper()
 	s := c.settings(tb, i)
-	deps, err := daemon.Connect(s, slog.New(slog.DiscardHandler))
+	log := slog.New(slog.NewTextHandler(c.log, &slog.HandlerOptions{Level: slog.LevelDebug})).With(slog.String("on", s.Host))
+	deps, err := daemon.Connect(s, log)
 	requireNoError(tb, err)
 	sw := newCrashSwitch(c.network, s.AvailabilityZone)
 	deps.SingleHost = c.config.Hosts == 1
 	if c.config.PeerFaults != nil {
 		deps.PeerFaults = c.config.PeerFaults(i)
 	}
-	d, err := daemon.Start(s, sw.wrap(deps), slog.New(slog.DiscardHandler))
+	d, err := daemon.Start(s, sw.wrap(deps), log)
 	requireNoError(tb, err)
 	c.crashSwitches[d] = sw
 	c.Hosts = append(c.Hosts, d)
