Revert "Ask no more endpoints for the end of a stream than the route allows"

Cause: an endpoint that has left the usable ones can't be asked again, and the change broke the stream off at once if the route allowed no other one. It took a draining endpoint for a reason to give up an answer that is whole.

So such a stream is sent to one endpoint more than max_attempts again, as before, since callers get the end then.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -261,29 +261,26 @@
 		if err := r.cfg.Crashes.Check(r.exchange); err != nil {
 			return nil, err
 		}
-		refusal := r.rerunStages(ctx, lastErr)
-		if refusal == nil {
+		err := r.rerunStages(ctx, lastErr)
+		if err == nil {
 			if err := r.cfg.Crashes.Check(r.exchange); err != nil {
 				return nil, err
 			}
 			lastErr = nil
-			endpoints, criteria, err := r.candidates()
-			if err != nil {
-				return nil, err
-			}
+			endpoints, criteria := r.candidates()
 			if e := r.takeSuccessor(); e != nil {
 				return e, nil
 			}
 			if e := r.cfg.Balancer.Pick(endpoints, criteria); e != nil {
 				return e, nil
 			}
-			refusal = r.noEndpointError()
+			err = r.noEndpointError()
 			if r.mustGoOn {
 				clear(r.attempted) // an endpoint that refused once, or was silent, may do
 			}
 		}
 		if !r.mustGoOn || r.failedPlans >= maxFailedPlans || ctx.Err() != nil || r.ending.Err() != nil {
-			return nil, refusal
+			return nil, err
 		}
 		r.pause(ctx, failoverInterval<<r.failedPlans)
 	}
--- a/internal/exchange/rest.go
+++ b/internal/exchange/rest.go
@@ -39,33 +39,27 @@
 	return nil
 }
 
-// errEndNotConfirmed ends a stream whose end no endpoint that the route allows can confirm.
-var errEndNotConfirmed = verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "endpoint that sent no event of the rest has left, and the route allows no other one")
-
 // candidates returns the endpoints of the next attempt and the criteria to pick one. Whether an
-// event is left is asked of the endpoint that sent none, and of others if it has left or is
-// unavailable, or a successor is there: its response counts as a failed attempt then, as far as
-// the route allows another one. Without one, the endpoint is awaited while it is unavailable. The
-// error is errEndNotConfirmed.
-func (r *exchangeRun) candidates() ([]*catalog.Endpoint, balance.Criteria, error) {
+// event is left is asked of the endpoint that sent none, and of others if it has gone. If it is
+// unavailable, or a successor is there, its response counts as a failed attempt, as far as the
+// route allows another one.
+func (r *exchangeRun) candidates() ([]*catalog.Endpoint, balance.Criteria) {
 	eligible, criteria := r.eligibleEndpoints(), r.criteria(r.currentResults().zone)
 	if !r.stream.mayBeAtEnd {
-		return eligible, criteria, nil
+		return eligible, criteria
 	}
 	same := slices.IndexFunc(eligible, func(e *catalog.Endpoint) bool { return e.Incarnation() == r.lastEndpoint })
 	switch {
 	case same >= 0 && r.successor == nil:
 		criteria.Avoid = nil
-		return eligible[same : same+1], criteria, nil
+		return eligible[same : same+1], criteria
 	case r.successor != nil || r.executedAttempts+1 < r.route.MaxAttempts:
 		r.executedAttempts++
-		r.stream.mayBeAtEnd = false
-		return eligible, criteria, nil
 	case r.isUsable(r.lastEndpoint):
-		return nil, criteria, nil
-	default:
-		return nil, criteria, errEndNotConfirmed
+		return nil, criteria
 	}
+	r.stream.mayBeAtEnd = false
+	return eligible, criteria
 }
 
 // countAttempt counts an attempt that failed with err, unless no endpoint ran it. What is sent
