Log what crashes are counted by, and what is taken for one

The lines of failed attempts told neither under which name the ledger knows the request nor whether the failure was taken for a crash, so they could not distinguish crashes that are not recognised from requests that are not.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -177,10 +177,11 @@
 	if outcome == balance.ConnectionFailed || outcome == balance.GivenUp {
 		r.cfg.Health.RecordFailure(e)
 	}
+	r.record.takenForCrash = outcome == balance.ConnectionFailed && r.mayHaveCrashed(err)
 	switch {
 	case err == nil && isSuccess(r.record.status):
 		r.cfg.Crashes.ReportResponse(r.exchange, e.Service)
-	case outcome == balance.ConnectionFailed && r.mayHaveCrashed(err):
+	case r.record.takenForCrash:
 		r.cfg.Crashes.ReportCrash(r.exchange, e)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -29,6 +30,8 @@
 	answer []slog.Attr
 	// gaveUp is why this host gave up the last attempt; nil if it did not.
 	gaveUp error
+	// takenForCrash says that the failure of the last attempt was taken for a crash.
+	takenForCrash bool
 	// stagesTime is the time spent on executing stages, including reruns, and
 	// stageQueueWait the sum of the queue waits in it.
 	stagesTime     time.Duration
@@ -54,8 +57,8 @@
 		attrs = append(attrs, slog.Any("given_up_because", r.record.gaveUp))
 	}
 	attrs = append(attrs, r.record.answer...)
-	if shared := r.sharedPromptParts(); len(shared) > 0 && verdict.Of(err) != verdict.NotRun {
-		attrs = append(attrs, slog.Any("prompt_parts", shared))
+	if verdict.Of(err) != verdict.NotRun {
+		attrs = append(attrs, slog.Any("traits", poison.Traits(r.exchange)), slog.Bool("taken_for_crash", r.record.takenForCrash))
 	}
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", attrs...)
 	if r.cfg.Metrics != nil {
@@ -75,21 +78,6 @@
 	return attrs
 }
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 8
-
-// sharedPromptParts returns the ids of the prompt parts that other requests may share,
-// maxLoggedParts at most.
-func (r *exchangeRun) sharedPromptParts() []string {
-	var ids []string
-	for i, p := range r.exchange.Prompt {
-		if i+1 < len(r.exchange.Prompt) && i < maxLoggedParts {
-			ids = append(ids, p.ID)
-		}
-	}
-	return ids
-}
-
 // logExchange logs the outcome of the exchange and records its metrics.
 func (r *exchangeRun) logExchange(err error) {
 	duration := r.cfg.Clock.Now().Sub(r.exchange.ReceivedAt)
