Count crashes by what endpoints see of a request, however it is spelled

Cause: the ledger knew a whole request by a fingerprint of API key, Host as sent, target as sent and body. Endpoints get the customer's name, not the key, and spellings of host and target that mean the same are one request, as they are for routes.

The fingerprint is now of the customer's name, the canonical host that also selects routes, the target in the normal form of RFC 3986, and the body. Requests without a customer count alike whatever key they carry: no endpoint sees it. What older builds have blamed, under the former fingerprint, is still refused. poison.Request works the traits out once for each exchange, and only when something is suspected.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -222,11 +222,7 @@
 // MatchRoute returns the route for a Host header with the longest matching path
 // prefix, or nil. It ignores the port and the case of host.
 func (c *Config) MatchRoute(host, path string) *Route {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	for _, r := range c.routesByHost[host] {
+	for _, r := range c.routesByHost[CanonicalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -234,6 +230,15 @@
 	return nil
 }
 
+// CanonicalHost returns the host name in a Host header, in lower case and without the port.
+func CanonicalHost(host string) string {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return host
+}
+
 // CustomerByKey returns the customer with the API key, or nil.
 func (c *Config) CustomerByKey(key string) *Customer { return c.customersByKey[key] }
 
--- a/internal/core/poison/explain.go
+++ b/internal/core/poison/explain.go
@@ -1,10 +1,6 @@
 package poison
 
-import (
-	"time"
-
-	"github.com/pimentorill/pimentorill/internal/port"
-)
+import "time"
 
 const (
 	// respondedTTL is how long a whole response with a part is remembered.
@@ -25,11 +21,12 @@
 // Responded records that this host received a whole successful response from an endpoint
 // of a service. Call it for each response: it is what tells sound parts from those that
 // crash endpoints if they crashed together.
-func (l *Ledger) Responded(service string, x *port.Exchange) {
+func (l *Ledger) Responded(service string, r *Request) {
 	now := l.cfg.Clock.Now()
+	prompt := r.exchange.Prompt
 	l.mu.Lock()
-	for i, part := range x.Prompt {
-		if i+1 == len(x.Prompt) || i == maxParts {
+	for i, part := range prompt {
+		if i+1 == len(prompt) || i == maxParts {
 			break
 		}
 		l.respondedAt[partAt{service, PartTrait(part.ID)}] = now
@@ -39,7 +36,7 @@
 	}
 	l.mu.Unlock()
 	if !l.Idle() {
-		l.Completed(service, Traits(x))
+		l.Completed(service, r.Traits())
 	}
 }
 
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -180,6 +180,18 @@
 	}
 }
 
+// BlamedRequest returns a blame for which a request is not to be sent: that of one of its
+// traits, or of the trait by which hosts of older builds know it.
+func (l *Ledger) BlamedRequest(r *Request) (Blame, bool) {
+	if !l.BlamesAny() {
+		return Blame{}, false
+	}
+	if b, blamed := l.Blamed(r.Traits()); blamed {
+		return b, true
+	}
+	return l.Blamed([]Trait{r.formerTrait()})
+}
+
 // Blamed returns the blame of the first of the traits that is blamed.
 func (l *Ledger) Blamed(traits []Trait) (Blame, bool) {
 	if !l.BlamesAny() {
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -311,7 +311,7 @@
 		}
 		return x
 	}
-	l.Responded("pool", request("good"))
+	l.Responded("pool", poison.NewRequest("", request("good")))
 	clock.advance(1500 * time.Millisecond) // the response no longer clears what comes
 	crash(l, 0, partThreshold, goodPart, badPart)
 	is.True(isBlamed(l, badPart))
@@ -321,7 +321,7 @@
 	is.True(!isBlamed(l, goodPart))
 	crash(l, partThreshold, partThreshold+1, goodPart) // without the other one
 	is.True(isBlamed(l, goodPart))
-	l.Responded("pool", request("good"))
+	l.Responded("pool", poison.NewRequest("", request("good")))
 	is.True(!isBlamed(l, goodPart))
 	is.True(isBlamed(l, badPart))
 }
--- a/internal/core/poison/simulation_test.go
+++ b/internal/core/poison/simulation_test.go
@@ -300,7 +300,7 @@
 	}
 	complete := h.own(func() {
 		if !h.isCut(h.zone, e.zone) {
-			h.ledger.Responded(e.Service, r.exchange())
+			h.ledger.Responded(e.Service, poison.NewRequest("", r.exchange()))
 			h.ledger.Completed(e.Service, r.traits)
 		}
 	})
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -108,14 +108,11 @@
 	return g
 }
 
-// Check returns a *verdict.Error with CodeQuarantined and NotRun if the exchange is not to
+// Check returns a *verdict.Error with CodeQuarantined and NotRun if the request is not to
 // be sent to an endpoint, nil otherwise. Call it before each attempt: what the ledger
-// blames changes while exchanges wait.
-func (g *Guard) Check(x *port.Exchange) error {
-	if !g.ledger.BlamesAny() {
-		return nil
-	}
-	blame, blamed := g.ledger.Blamed(poison.Traits(x))
+// blames changes while requests wait.
+func (g *Guard) Check(r *poison.Request) error {
+	blame, blamed := g.ledger.BlamedRequest(r)
 	if !blamed {
 		return nil
 	}
@@ -125,15 +122,15 @@
 }
 
 // ReportCrash records that an endpoint broke a connection while it may have been writing a
-// response to the exchange, unless it responds on another one: then it was the path between
+// response to the request, unless it responds on another one: then it was the path between
 // this host and the endpoint that broke. An endpoint that is draining or gone from the
 // newest snapshot has ended as planned and is left out. ReportCrash does not wait.
-func (g *Guard) ReportCrash(x *port.Exchange, e *catalog.Endpoint) {
+func (g *Guard) ReportCrash(r *poison.Request, e *catalog.Endpoint) {
 	if !slices.ContainsFunc(g.cfg.Snapshot().Usable[e.Service], func(o *catalog.Endpoint) bool { return o.Incarnation() == e.Incarnation() }) {
 		return
 	}
 	if g.cfg.Responds == nil {
-		g.recordCrash(x, e)
+		g.recordCrash(r, e)
 		return
 	}
 	go func() {
@@ -141,22 +138,22 @@
 		defer cancel()
 		if g.cfg.Responds(ctx, e) {
 			g.count("crash_reports_dismissed_total")
-			g.cfg.Log.Info("connection to an endpoint broke, but the endpoint responds", slog.String("endpoint", e.ID), slog.String("request", x.ID))
+			g.cfg.Log.Info("connection to an endpoint broke, but the endpoint responds", slog.String("endpoint", e.ID), slog.String("request", r.ID()))
 			return
 		}
-		g.recordCrash(x, e)
+		g.recordCrash(r, e)
 	}()
 }
 
-func (g *Guard) recordCrash(x *port.Exchange, e *catalog.Endpoint) {
+func (g *Guard) recordCrash(r *poison.Request, e *catalog.Endpoint) {
 	g.count("crash_reports_total")
-	g.ledger.Crashed(e, poison.Traits(x))
+	g.ledger.Crashed(e, r.Traits())
 }
 
 // ReportResponse records that an endpoint of the service sent a whole successful response
-// to the exchange.
-func (g *Guard) ReportResponse(x *port.Exchange, service string) {
-	g.ledger.Responded(service, x)
+// to the request.
+func (g *Guard) ReportResponse(r *poison.Request, service string) {
+	g.ledger.Responded(service, r)
 }
 
 // Run spreads evidence and records blames in the store until ctx ends.
--- a/internal/crashing/crashing_test.go
+++ b/internal/crashing/crashing_test.go
@@ -96,7 +96,7 @@
 }
 
 // refusing returns the ids of the hosts that refuse a request, sorted.
-func (f *fleet) refusing(x *port.Exchange) []string {
+func (f *fleet) refusing(x *poison.Request) []string {
 	f.mu.Lock()
 	hosts := make([]*fakeHost, 0, len(f.hosts))
 	for _, h := range f.hosts {
@@ -200,15 +200,15 @@
 const enough = 4
 
 // badRequest returns a request with a part that crashes endpoints. No two are alike.
-func badRequest(n int) *port.Exchange {
+func badRequest(n int) *poison.Request {
 	own := fmt.Sprint("own-", n)
-	return &port.Exchange{ID: own, Target: "/" + own, Prompt: []port.PromptPart{{ID: "first"}, {ID: "bad"}, {ID: own}}}
+	return poison.NewRequest("", &port.Exchange{ID: own, Target: "/" + own, Prompt: []port.PromptPart{{ID: "first"}, {ID: "bad"}, {ID: own}}})
 }
 
 // bad is a request with that part, sound one without it.
 var (
 	bad   = badRequest(100)
-	sound = &port.Exchange{ID: "s", Target: "/s", Prompt: []port.PromptPart{{ID: "first"}, {ID: "fine"}, {ID: "own-s"}}}
+	sound = poison.NewRequest("", &port.Exchange{ID: "s", Target: "/s", Prompt: []port.PromptPart{{ID: "first"}, {ID: "fine"}, {ID: "own-s"}}})
 )
 
 // crash has an endpoint crash under a bad request at one host, and a sound response
@@ -345,7 +345,7 @@
 		fingerprint := suspect.NewFingerprint("key", "api.example/x", []byte("poison")).String()
 		f.set(func() { f.items["own/crashing/"+fingerprint] = "{}" })
 		time.Sleep(time.Second)
-		is.Equal(f.refusing(&port.Exchange{APIKey: "key", Host: "api.example", Target: "/x", Body: []byte("poison")}), []string{"edge-0"})
+		is.Equal(f.refusing(poison.NewRequest("triglav", &port.Exchange{APIKey: "key", Host: "api.example", Target: "/x", Body: []byte("poison")})), []string{"edge-0"})
 		is.Equal(f.refusing(sound), nil)
 		is.Equal(entryName(poison.Trait("request/"+fingerprint)), fingerprint) // as older builds look for it
 	})
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -97,7 +98,7 @@
 	blame := func(h *scriptedHost) {
 		for i, e := range h.usable() {
 			own := fmt.Sprint("own-", i)
-			h.crashes.ReportCrash(&port.Exchange{Target: "/" + own, Prompt: []port.PromptPart{{ID: "bad"}, {ID: own}}}, e)
+			h.crashes.ReportCrash(poison.NewRequest("", &port.Exchange{Target: "/" + own, Prompt: []port.PromptPart{{ID: "bad"}, {ID: own}}}), e)
 		}
 	}
 	for _, row := range []struct {
--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -228,7 +228,7 @@
 // concurrently with the attempt, whose context is ctx, and does nothing once the attempt
 // is no longer doubted.
 func (r *exchangeRun) secureSuccessor(ctx context.Context, doubted func() bool) bool {
-	if r.cfg.Crashes.Check(r.exchange) != nil {
+	if r.cfg.Crashes.Check(r.request) != nil {
 		return false
 	}
 	if r.executedAttempts+1 >= r.route.MaxAttempts || !r.mayGoOn() || !r.cfg.Balancer.CanPick(r.eligibleEndpoints(), r.criteria(r.currentResults().zone)) {
@@ -258,12 +258,12 @@
 		return nil, errNotResumable
 	}
 	for {
-		if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+		if err := r.cfg.Crashes.Check(r.request); err != nil {
 			return nil, err
 		}
 		err := r.rerunStages(ctx, lastErr)
 		if err == nil {
-			if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+			if err := r.cfg.Crashes.Check(r.request); err != nil {
 				return nil, err
 			}
 			lastErr = nil
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -180,9 +180,9 @@
 	r.record.takenForCrash = outcome == balance.ConnectionFailed && r.mayHaveCrashed(err)
 	switch {
 	case err == nil && isSuccess(r.record.status):
-		r.cfg.Crashes.ReportResponse(r.exchange, e.Service)
+		r.cfg.Crashes.ReportResponse(r.request, e.Service)
 	case r.record.takenForCrash:
-		r.cfg.Crashes.ReportCrash(r.exchange, e)
+		r.cfg.Crashes.ReportCrash(r.request, e)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
 	return err
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
-	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -58,7 +57,7 @@
 	}
 	attrs = append(attrs, r.record.answer...)
 	if verdict.Of(err) != verdict.NotRun {
-		attrs = append(attrs, slog.Any("traits", poison.Traits(r.exchange)), slog.Bool("taken_for_crash", r.record.takenForCrash))
+		attrs = append(attrs, slog.Any("traits", r.request.Traits()), slog.Bool("taken_for_crash", r.record.takenForCrash))
 	}
 	r.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "attempt failed", attrs...)
 	if r.cfg.Metrics != nil {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -16,6 +16,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/origin"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/quota"
 	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
@@ -139,6 +140,9 @@
 	// customer is the name of the customer; empty if the API key is unknown and the
 	// route does not need one.
 	customer string
+	// request is the exchange as the guard against crashes knows it; nil before its
+	// customer is known.
+	request *poison.Request
 	// customerRegions holds the regions that the customer allows; empty allows all.
 	customerRegions []string
 	priority        int // 0 is the most urgent
@@ -222,11 +226,12 @@
 	if customer != nil {
 		r.customer, r.customerRegions = customer.Name, customer.Regions
 	}
+	r.request = poison.NewRequest(r.customer, r.exchange)
 	r.service = c.Services[r.route.PickService(r.randomFloat())]
 	if r.service == nil {
 		return verdict.New(verdict.CodeNotReady, verdict.NotRun, "service is not known").WithRetryAfter(notReadyRetry)
 	}
-	if err := r.cfg.Crashes.Check(r.exchange); err != nil {
+	if err := r.cfg.Crashes.Check(r.request); err != nil {
 		return err
 	}
 	r.deadline = r.exchange.ReceivedAt.Add(effectiveTimeout(r.route.Timeout, r.exchange.CallerTimeout))
