Don't blame a request for crashes at which another one was

What callers saw: a sound request that may be repeated was refused with Retry-After 30 because each of the three endpoints to which it was sent crashed under another request (seen in the hosts' lines of TestRequestThatCrashesEndpointsIsNotSentOn, 'silent before the header').

Cause: whole requests had no counterpart to the rule for parts, by which one that was only there when another one crashed endpoints is not blamed. A request that is tried again beside the one that crashes endpoints meets it again and again.

A whole request is not refused now while another one is blamed that was at each of its crashes and at more besides. If it does crash endpoints, the next crash without the other one shows it. TestRequestAtCrashesOfAnotherOneIsNotBlamed failed before.

--- a/internal/core/poison/explain.go
+++ b/internal/core/poison/explain.go
@@ -65,14 +65,19 @@
 }
 
 // explained reports whether a trait with enough crashes for a blame was only there when
-// another one crashed endpoints: this host had responses with the trait of late and none
-// with the other, and the other was there at each of its crashes. l.mu must be held.
+// another one crashed endpoints, which was there at each of its crashes. For a part that holds if
+// this host had responses with it of late and none with the other; for a whole request, whose
+// responses never came, if the other one is a whole request too and crashed more endpoints. l.mu
+// must be held.
 func (l *Ledger) explained(t Trait, e *evidence, now time.Time) bool {
-	if !e.restoredAt.IsZero() || !l.hasResponded(t, e, now) {
+	if !e.restoredAt.IsZero() || !t.isRequest() && !l.hasResponded(t, e, now) {
 		return false
 	}
 	for other, o := range l.traits {
-		if other != t && !other.isRequest() && o.blamed && !l.hasResponded(other, o, now) && e.within(o) {
+		if other == t || other.isRequest() != t.isRequest() || !o.blamed || !e.within(o) {
+			continue
+		}
+		if t.isRequest() && o.crashes > e.crashes || !t.isRequest() && !l.hasResponded(other, o, now) {
 			return true
 		}
 	}
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -47,6 +47,13 @@
 const (
 	badPart  = poison.Trait("part/bad")
 	goodPart = poison.Trait("part/good")
+	// requestThreshold is the number of crashes from which a whole request is blamed.
+	requestThreshold = 3
+)
+
+var (
+	badRequestTrait   = poison.RequestTrait(suspect.NewFingerprint("triglav", "/bad", nil))
+	soundRequestTrait = poison.RequestTrait(suspect.NewFingerprint("triglav", "/sound", nil))
 )
 
 func traitsOf(traits ...poison.Trait) []poison.Trait { return traits }
@@ -338,3 +345,26 @@
 	}
 	is.True(!isBlamed(l, goodPart))
 }
+
+// Guards against a sound request that is refused because it was sent, at each try, to an endpoint
+// that another one crashed.
+func TestRequestAtCrashesOfAnotherOneIsNotBlamed(t *testing.T) {
+	is := is.New(t)
+	clock := newClock()
+	l := newLedger(clock)
+	for i := range requestThreshold + 1 {
+		traits := traitsOf(badRequestTrait)
+		if i > 0 {
+			traits = append(traits, soundRequestTrait)
+		}
+		l.Crashed(incarnation("pool", i), traits)
+		clock.advance(time.Second)
+	}
+	_, blamed := l.Blamed(traitsOf(badRequestTrait))
+	is.True(blamed)
+	_, blamed = l.Blamed(traitsOf(soundRequestTrait))
+	is.True(!blamed)
+	l.Crashed(incarnation("pool", 9), traitsOf(soundRequestTrait)) // alone
+	_, blamed = l.Blamed(traitsOf(soundRequestTrait))
+	is.True(blamed)
+}
