Count endpoints that fall silent under a request, until they respond

Cause: only a connection that was broken was evidence, since a silence may also be a pause, a cut or a slow endpoint. But which of these it was shows later, and nothing looked again: the attempt ended at its deadline, or was given up, and was forgotten.

The guard (internal/crashing) now keeps the attempts at each endpoint that have no whole response, until the endpoint responds to something sent later. An endpoint without a sign of life for 0.8 s is probed by the health monitor. If it responds to no host, while another endpoint does, that counts as a crash for the whole requests there, and once the store no longer names the incarnation for the parts of their prompts too. A crash is withdrawn everywhere, by the endpoint's incarnation, when it responds: 3 s after the crash or later, since ages grow on their way, and only if the store still names it 2 s afterwards. An incarnation that is replaced under its id, or at its address (421), has ended. Parts count later, as what silences many endpoints finds them on all.

--- a/internal/core/poison/evidence.go
+++ b/internal/core/poison/evidence.go
@@ -18,6 +18,8 @@
 	restoredAt, restoredUntil time.Time
 	// lapseDelay is added to the end of each blame at this host.
 	lapseDelay time.Duration
+	// withdrawnAt is when crashes were last withdrawn; zero if none were.
+	withdrawnAt time.Time
 	// learnedAt is when this host last learned something that others should know.
 	learnedAt time.Time
 
--- a/internal/core/poison/host_test.go
+++ b/internal/core/poison/host_test.go
@@ -28,6 +28,8 @@
 	disturbedUntil time.Duration
 	spreading      bool
 	blamed         map[poison.Trait]bool
+	// silent holds the endpoints that the host knows to be silent.
+	silent map[*fleetEndpoint]bool
 }
 
 // Now implements port.Clock.
@@ -42,7 +44,7 @@
 // start starts the host without knowledge but for the entries in the store.
 func (h *fleetHost) start() {
 	h.starts++
-	h.spreading, h.blamed = false, make(map[poison.Trait]bool)
+	h.spreading, h.blamed, h.silent = false, make(map[poison.Trait]bool), make(map[*fleetEndpoint]bool)
 	h.ledger = poison.New(poison.Config{Host: h.id, Clock: h, Log: slog.New(slog.DiscardHandler), OnChange: h.onChange})
 	for _, t := range h.badParts {
 		if at, ok := h.store[t]; ok && h.now-at > time.Second {
@@ -151,21 +153,32 @@
 	}
 }
 
+// evidence is what hosts tell each other.
+type evidence struct {
+	Reports []poison.Report
+	Alive   []poison.AliveReport
+}
+
+func (h *fleetHost) evidence(fresh bool) evidence {
+	return evidence{h.ledger.Reports(fresh), h.ledger.AliveReports(fresh)}
+}
+
+func (e evidence) empty() bool { return len(e.Reports)+len(e.Alive) == 0 }
+
 // tell exchanges reports with another host.
 func (h *fleetHost) tell(other *fleetHost, fresh bool) {
-	reports := h.ledger.Reports(fresh)
-	if fresh && len(reports) == 0 {
+	own := h.evidence(fresh)
+	if fresh && own.empty() {
 		return
 	}
-	h.transmit(h, other, reports, func() {
-		reply := other.ledger.Reports(fresh)
-		h.transmit(other, h, reply, func() {})
+	h.transmit(h, other, own, func() {
+		h.transmit(other, h, other.evidence(fresh), func() {})
 	})
 }
 
-func (f *fleet) transmit(from, to *fleetHost, reports []poison.Report, then func()) {
-	if len(reports) > 0 {
-		encoded, err := cbor.Marshal(reports)
+func (f *fleet) transmit(from, to *fleetHost, e evidence, then func()) {
+	if !e.empty() {
+		encoded, err := cbor.Marshal(e)
 		if err != nil {
 			panic(err)
 		}
@@ -177,9 +190,8 @@
 	}
 	f.after(f.between(time.Millisecond, 30*time.Millisecond), func() {
 		to.do(func() {
-			if len(reports) > 0 {
-				to.ledger.Merge(reports)
-			}
+			to.ledger.MergeAlive(e.Alive)
+			to.ledger.Merge(e.Reports)
 			then()
 		})
 	})
--- a/internal/core/poison/loss.go
+++ b/internal/core/poison/loss.go
@@ -60,6 +60,13 @@
 	return s.find(at)
 }
 
+// forget takes back that an incarnation ended. s may be nil.
+func (s *losses) forget(i catalog.Incarnation) {
+	if s != nil {
+		delete(s.endedAt, i)
+	}
+}
+
 // find looks for endpoints that were lost together with one that ended at a time.
 func (s *losses) find(at time.Time) bool {
 	s.periods = slices.DeleteFunc(s.periods, func(p period) bool { return at.Sub(p.to) > lossTTL })
@@ -90,7 +97,8 @@
 	return s != nil && slices.ContainsFunc(s.periods, func(p period) bool { return !at.Before(p.from) && !at.After(p.to) })
 }
 
-// ended records the end of an incarnation of an endpoint. l.mu must be held.
+// ended records the end of an incarnation of an endpoint that is known to have ended, as it is for
+// parts of prompts. l.mu must be held.
 func (l *Ledger) ended(service string, i catalog.Incarnation, at time.Time) {
 	s := l.losses[service]
 	if s == nil {
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -7,7 +7,8 @@
 // far, so that what crashing requests share with sound ones is not blamed for long. A
 // trait with enough crashes is blamed, and requests with it are not to be sent. Each
 // blame lapses after a time and comes back, for longer, with the first further crash.
-// Endpoints that were lost together are not enough for a blame.
+// Endpoints that were lost together are not enough for a blame. The crash of an endpoint
+// that responds later is withdrawn: it had been silent, or out of reach.
 //
 // Hosts tell each other the evidence (Reports, Merge), and each decides by itself: no
 // host has to add up for the others, and none needs the store. Evidence is merged by
@@ -100,7 +101,9 @@
 	// respondedAt holds when this host last received a whole response with a part.
 	respondedAt map[partAt]time.Time
 	// losses holds the endpoints that were lost together, by service.
-	losses  map[string]*losses
+	losses map[string]*losses
+	// alive holds the endpoints that responded after they had been taken for crashed.
+	alive   map[catalog.Incarnation]aliveEndpoint
 	sweptAt time.Time
 	// changed means that OnChange is to be called.
 	changed bool
@@ -108,7 +111,8 @@
 
 // New returns a Ledger without evidence.
 func New(cfg Config) *Ledger {
-	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence), respondedAt: make(map[partAt]time.Time), losses: make(map[string]*losses)}
+	return &Ledger{cfg: cfg, traits: make(map[Trait]*evidence), respondedAt: make(map[partAt]time.Time), losses: make(map[string]*losses),
+		alive: make(map[catalog.Incarnation]aliveEndpoint)}
 }
 
 // Blame is a trait with which requests are not to be sent to endpoints. Its times are
@@ -142,11 +146,13 @@
 	if !validName(endpoint.Service) || !validName(endpoint.ID) {
 		return
 	}
-	l.ended(endpoint.Service, endpoint.Incarnation(), now)
 	for _, t := range traits {
 		if !t.valid() {
 			continue
 		}
+		if !t.isRequest() {
+			l.ended(endpoint.Service, endpoint.Incarnation(), now)
+		}
 		e := l.evidenceOf(t)
 		isNews := l.clearByResponse(t, e, endpoint.Service, now)
 		if e.addCrash(endpoint.Service, endpoint.Incarnation(), now) || isNews {
@@ -157,6 +163,14 @@
 	l.evict(now)
 }
 
+// Silent records that an incarnation of an endpoint that may have been working on requests with
+// these traits responds to no host. It counts as a crash for whole requests. For parts, which run
+// everywhere, it says little: what silences many endpoints finds them on all. Call Crashed once
+// the incarnation is known to have ended, or Alive once it responds.
+func (l *Ledger) Silent(endpoint *catalog.Endpoint, traits []Trait) {
+	l.Crashed(endpoint, slices.DeleteFunc(slices.Clone(traits), func(t Trait) bool { return !t.isRequest() }))
+}
+
 // Completed records that a whole successful response to a request with these traits
 // came from an endpoint of a service.
 func (l *Ledger) Completed(service string, traits []Trait) {
@@ -243,7 +257,11 @@
 	if e.hasCrashes() {
 		return // a host that has evidence decides by it
 	}
-	if at := now.Add(-since); at.After(e.restoredAt) {
+	at := now.Add(-since)
+	if !at.After(e.withdrawnAt) {
+		return // the entry is of a blame that has ended
+	}
+	if at.After(e.restoredAt) {
 		e.restoredAt = at
 	}
 	e.restoredUntil = e.restoredAt.Add(minBlameTime)
@@ -349,7 +367,7 @@
 		l.cfg.Log.Info("requests are no longer refused for crashes", slog.String("trait", string(t)), slog.String("reason", reason),
 			slog.Int("crashes", crashes), slog.Duration("after", now.Sub(e.blamedSince).Round(time.Millisecond)))
 	}
-	if e.crashes == 0 && len(e.services) == 0 {
+	if e.crashes == 0 && len(e.services) == 0 && now.Sub(e.withdrawnAt) > clearTTL {
 		delete(l.traits, t)
 	}
 }
--- a/internal/core/poison/reports.go
+++ b/internal/core/poison/reports.go
@@ -156,7 +156,12 @@
 			for _, c := range s.Crashes {
 				i := catalog.Incarnation{ID: c.Endpoint, StartedUnixMs: c.StartedUnixMs}
 				at := receivedTime(now, c.AgeMs)
-				l.ended(s.Service, i, at)
+				if l.respondedSince(i, at) {
+					continue
+				}
+				if !r.Trait.isRequest() {
+					l.ended(s.Service, i, at)
+				}
 				isNews = l.clearByResponse(r.Trait, e, s.Service, at) || isNews
 				isNews = e.addCrash(s.Service, i, at) || isNews
 			}
--- a/internal/core/poison/simulation_test.go
+++ b/internal/core/poison/simulation_test.go
@@ -31,13 +31,21 @@
 	// store away.
 	cut, stop, restarts, storeless bool
 	// lost is the share of the endpoints that are lost in one moment, at badFrom.
-	lost    float64
-	runTime time.Duration
+	lost float64
+	// dark has endpoints fall silent instead of breaking their connections when they end,
+	// and pauses is the rate per second at which endpoints are silent for a while and go on.
+	dark   bool
+	pauses float64
+	// badRequest has one request that crashes endpoints come again every badInterval.
+	badRequest bool
+	runTime    time.Duration
 }
 
 const (
 	// badFrom is when requests with bad parts begin to come.
 	badFrom = 4 * time.Second
+	// downtime is how long endpoints are down after a crash.
+	downtime = 4 * time.Second
 	// contactTime is the platform's contact_ms.
 	contactTime = 3 * time.Second
 	// spreadDelay is how long a host collects news before it tells its neighbours.
@@ -104,6 +112,8 @@
 	bad       poison.Trait
 	host      *fleetHost
 	started   bool
+	// sends counts how often the request came.
+	sends int
 }
 
 type fleetEndpoint struct {
@@ -111,6 +121,8 @@
 	zone    int
 	up      bool
 	running []*request
+	// It is silent until silentUntil.
+	silentUntil time.Duration
 }
 
 // moment is a function that runs at a time of the simulation.
@@ -164,7 +176,7 @@
 	f := &fleet{scenario: s, rng: rand.New(rand.NewPCG(seed, uint64(s.hosts))), store: make(map[poison.Trait]time.Duration), firstBlamed: make(map[poison.Trait]int), soundBlamed: make(map[poison.Trait]bool)}
 	f.middle = rand.NewZipf(f.rng, 1.1, 1, 39)
 	for i := range s.endpoints {
-		f.endpoint = append(f.endpoint, &fleetEndpoint{&catalog.Endpoint{ID: fmt.Sprintf("engine-%04d", i), Service: "pool", StartedUnixMs: 1}, i % zones, true, nil})
+		f.endpoint = append(f.endpoint, &fleetEndpoint{Endpoint: &catalog.Endpoint{ID: fmt.Sprintf("engine-%04d", i), Service: "pool", StartedUnixMs: 1}, zone: i % zones, up: true})
 	}
 	for i := range s.hosts {
 		h := &fleetHost{fleet: f, id: fmt.Sprintf("edge-%d", i), zone: i % zones, offset: f.between(0, time.Hour), disturbedUntil: -1}
@@ -178,6 +190,10 @@
 	f.every(s.requests, 0, f.arrive)
 	f.every(s.otherCrashes, badFrom, func() { f.crash(f.endpoint[f.rng.IntN(len(f.endpoint))]) })
 	f.every(s.truncated, badFrom, f.truncate)
+	f.every(s.pauses, badFrom, f.pause)
+	if s.badRequest {
+		f.after(badFrom, f.sendBadRequest)
+	}
 	if s.restarts {
 		f.every(1, badFrom, func() { f.all[f.rng.IntN(len(f.all))].restart() })
 	}
@@ -189,6 +205,7 @@
 			f.after(at, f.disturbCutZone)
 			f.after(at+time.Second, f.updateNeighbours)
 		}
+		f.after(cutFrom, f.silenceCut)
 	}
 	return f
 }
@@ -277,7 +294,7 @@
 	}
 	var up []*fleetEndpoint
 	for _, e := range h.endpoint {
-		if e.up && !h.isCut(h.zone, e.zone) {
+		if e.up && !h.knowsSilent(e) {
 			up = append(up, e)
 		}
 	}
@@ -286,30 +303,44 @@
 	}
 	e := up[h.rng.IntN(len(up))]
 	incarnation := e.Endpoint
+	if h.isSilent(e) {
+		e.running = append(e.running, r) // it never begins there
+		h.after(noticeMost, h.own(func() { h.sendAgain(e, incarnation, r) }))
+		return
+	}
 	r.started, r.began = true, h.now
 	e.running = append(e.running, r)
 	if r.bad != "" {
 		h.sent = append(h.sent, occurrence{h.now, r.bad, h.zone == cutZone, h.now > h.disturbedUntil})
 		h.after(h.between(20*time.Millisecond, 150*time.Millisecond), func() {
-			if e.up && e.Endpoint == incarnation {
+			if e.up && e.Endpoint == incarnation && e.silentUntil <= h.now {
 				h.crashes = append(h.crashes, occurrence{h.now, r.bad, e.zone == cutZone, true})
 				h.crash(e)
 			}
 		})
 		return
 	}
-	complete := h.own(func() {
+	h.after(h.between(100*time.Millisecond, 3*time.Second), func() { h.complete(e, r) })
+}
+
+// complete ends a request with a whole response once its endpoint is not silent.
+func (f *fleet) complete(e *fleetEndpoint, r *request) {
+	if f.now < e.silentUntil {
+		f.after(e.silentUntil-f.now+f.between(0, 500*time.Millisecond), func() { f.complete(e, r) })
+		return
+	}
+	i := slices.Index(e.running, r)
+	if i < 0 {
+		return
+	}
+	e.running = slices.Delete(e.running, i, i+1)
+	h := r.host
+	h.own(func() {
 		if !h.isCut(h.zone, e.zone) {
 			h.ledger.Responded(e.Service, poison.NewRequest("", r.exchange()))
 			h.ledger.Completed(e.Service, r.traits)
 		}
-	})
-	h.after(h.between(100*time.Millisecond, 3*time.Second), func() {
-		if i := slices.Index(e.running, r); i >= 0 {
-			e.running = slices.Delete(e.running, i, i+1)
-			complete()
-		}
-	})
+	})()
 }
 
 // crash ends an endpoint, which is back as a new incarnation after 4 s.
@@ -317,26 +348,34 @@
 	if !e.up {
 		return
 	}
+	next := *e.Endpoint
+	next.StartedUnixMs++
+	restart := func() { e.up, e.Endpoint, e.silentUntil = true, &next, f.now }
+	if f.dark {
+		f.silence(e, downtime, func() { e.running = nil; restart() })
+		return
+	}
 	for _, r := range e.running {
 		f.breakOff(e, r)
 	}
 	e.up, e.running = false, nil
-	next := *e.Endpoint
-	next.StartedUnixMs++
-	f.after(4*time.Second, func() { e.up, e.Endpoint = true, &next })
+	f.after(downtime, restart)
 }
 
 // breakOff ends the connection of a request.
 func (f *fleet) breakOff(e *fleetEndpoint, r *request) {
 	h, incarnation := r.host, e.Endpoint
-	if f.now-r.began > 2*time.Second || f.isCut(h.zone, e.zone) {
+	if f.isCut(h.zone, e.zone) {
 		return
 	}
 	notice := 10 * time.Millisecond
 	if f.lost > 0 {
 		notice = maxNotice
 	}
-	f.after(f.between(0, notice), h.own(func() { h.ledger.Crashed(incarnation, r.traits) }))
+	f.after(f.between(0, notice), h.own(func() {
+		h.ledger.Crashed(incarnation, r.traits)
+		h.sendAgain(e, incarnation, r)
+	}))
 }
 
 // loseTogether ends a share of the endpoints in one moment.
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -72,8 +71,14 @@
 	// Responds reports whether an endpoint responds to any host. A connection to one that
 	// does was not broken by a crash. It may be nil: then any broken connection was.
 	Responds func(ctx context.Context, e *catalog.Endpoint) bool
-	Clock    port.Clock
-	Log      *slog.Logger
+	// ProbeSilent starts to probe an endpoint that is silent. Then EndpointUnreachable or
+	// EndpointResponded is called. It may be nil.
+	ProbeSilent func(e *catalog.Endpoint)
+	// Reaches reports whether another endpoint than e responds to this host. If none does, the
+	// silence of e says nothing about requests. It may be nil: then another one does.
+	Reaches func(ctx context.Context, e *catalog.Endpoint) bool
+	Clock   port.Clock
+	Log     *slog.Logger
 	// Metrics may be nil; then no metrics are recorded.
 	Metrics tally.Scope
 }
@@ -85,19 +90,21 @@
 	// changed holds an item while the ledger has news.
 	changed chan struct{}
 	entries entries
+	open    openAttempts
 }
 
 // message carries evidence between hosts.
 type message struct {
 	Reports []poison.Report `cbor:"1,keyasint,omitempty"`
 	// All asks for all evidence in the response, not only for news.
-	All bool `cbor:"2,keyasint,omitempty"`
+	All   bool                 `cbor:"2,keyasint,omitempty"`
+	Alive []poison.AliveReport `cbor:"3,keyasint,omitempty"`
 }
 
 // New returns a Guard without evidence and registers its handler for the messages of
 // other hosts with cfg.Peers. Run spreads evidence.
 func New(cfg Config) *Guard {
-	g := &Guard{cfg: cfg, changed: make(chan struct{}, 1), entries: newEntries()}
+	g := &Guard{cfg: cfg, changed: make(chan struct{}, 1), entries: newEntries(), open: newOpenAttempts()}
 	g.ledger = poison.New(poison.Config{Host: cfg.Peers.Self(), Clock: cfg.Clock, Log: cfg.Log, OnChange: func() {
 		select {
 		case g.changed <- struct{}{}:
@@ -121,58 +128,39 @@
 		"requests like this one crash endpoints").WithRetryAfter(refusalRetry)
 }
 
-// ReportCrash records that an endpoint broke a connection while it may have been writing a
-// response to the request, unless it responds on another one: then it was the path between
-// this host and the endpoint that broke. An endpoint that is draining or gone from the
-// newest snapshot has ended as planned and is left out. ReportCrash does not wait.
-func (g *Guard) ReportCrash(r *poison.Request, e *catalog.Endpoint) {
-	if !slices.ContainsFunc(g.cfg.Snapshot().Usable[e.Service], func(o *catalog.Endpoint) bool { return o.Incarnation() == e.Incarnation() }) {
-		return
-	}
-	if g.cfg.Responds == nil {
-		g.recordCrash(r, e)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
-		defer cancel()
-		if g.cfg.Responds(ctx, e) {
-			g.count("crash_reports_dismissed_total")
-			g.cfg.Log.Info("connection to an endpoint broke, but the endpoint responds", slog.String("endpoint", e.ID), slog.String("request", r.ID()))
-			return
-		}
-		g.recordCrash(r, e)
-	}()
-}
-
-func (g *Guard) recordCrash(r *poison.Request, e *catalog.Endpoint) {
-	g.count("crash_reports_total")
-	g.ledger.Crashed(e, r.Traits())
-}
-
 // ReportResponse records that an endpoint of the service sent a whole successful response
 // to the request.
 func (g *Guard) ReportResponse(r *poison.Request, service string) {
 	g.ledger.Responded(service, r)
 }
 
-// Run spreads evidence and records blames in the store until ctx ends.
+// evidence returns the message with the evidence of this host, with fresh only what is new.
+func (g *Guard) evidence(fresh bool) message {
+	return message{Reports: g.ledger.Reports(fresh), Alive: g.ledger.AliveReports(fresh)}
+}
+
+// Run watches the endpoints, spreads evidence and records blames in the store until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
+	ticker, watch := time.NewTicker(exchangeInterval), time.NewTicker(watchInterval)
 	defer ticker.Stop()
+	defer watch.Stop()
 	joined := false
 	for round := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
+		case <-watch.C:
+			g.watchAttempts()
+			continue
 		case <-g.changed:
 			port.Sleep(ctx, batchDelay)
-			g.spread(ctx, message{Reports: g.ledger.Reports(true)}, g.neighbors())
+			g.spread(ctx, g.evidence(true), g.neighbors())
 		case <-ticker.C:
 			round++
-			m := message{Reports: g.ledger.Reports(false), All: true}
+			m := g.evidence(false)
+			m.All = true
 			near := g.neighbors()
-			if len(near) > 0 && (len(m.Reports) > 0 || !joined) {
+			if len(near) > 0 && (len(m.Reports) > 0 || len(m.Alive) > 0 || !joined) {
 				// A host that has just started asks for what the others know.
 				joined = true
 				g.spread(ctx, m, near[round%len(near):][:1])
@@ -190,7 +178,7 @@
 
 // spread sends a message to hosts and merges their responses, without waiting for them.
 func (g *Guard) spread(ctx context.Context, m message, hosts []string) {
-	if len(m.Reports) == 0 && !m.All {
+	if len(m.Reports) == 0 && len(m.Alive) == 0 && !m.All {
 		return
 	}
 	payload, err := cbor.Marshal(m)
@@ -215,6 +203,7 @@
 	if err := cbor.Unmarshal(payload, &m); err != nil {
 		return m, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "evidence of crashes can't be read")
 	}
+	g.ledger.MergeAlive(m.Alive)
 	g.ledger.Merge(m.Reports)
 	return m, nil
 }
@@ -224,7 +213,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(message{Reports: g.ledger.Reports(!m.All)})
+	return cbor.Marshal(g.evidence(!m.All))
 }
 
 func (g *Guard) count(name string) {
--- a/internal/crashing/crashing_test.go
+++ b/internal/crashing/crashing_test.go
@@ -31,6 +31,9 @@
 	items    map[string]string
 	leases   map[int64]string
 	storeOut bool
+	// silent holds the endpoints that respond to nobody. With unreachable none responds.
+	silent      map[catalog.Incarnation]bool
+	unreachable bool
 }
 
 // fakeHost implements Peers.
@@ -41,11 +44,12 @@
 	handlers map[string]port.RequestHandler
 	// away is set while the host sends and receives nothing.
 	away bool
+	ctx  context.Context
 	stop context.CancelFunc
 }
 
 func newFleet(hosts int) *fleet {
-	f := &fleet{hosts: make(map[string]*fakeHost), items: make(map[string]string), leases: make(map[int64]string)}
+	f := &fleet{hosts: make(map[string]*fakeHost), items: make(map[string]string), leases: make(map[int64]string), silent: make(map[catalog.Incarnation]bool)}
 	for i := range 6 {
 		f.endpoints = append(f.endpoints, &catalog.Endpoint{ID: fmt.Sprint("e", i), Service: "pool", StartedUnixMs: 1})
 	}
@@ -58,9 +62,9 @@
 // start starts a host, or starts it anew without what it knew.
 func (f *fleet) start(id string) *fakeHost {
 	h := &fakeHost{fleet: f, id: id, handlers: make(map[string]port.RequestHandler)}
-	h.guard = New(Config{Peers: h, Store: f, KeyPrefix: "own/", Snapshot: f.snapshot, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
+	h.guard = New(Config{Peers: h, Store: f, KeyPrefix: "own/", Snapshot: f.snapshot, ProbeSilent: h.probe, Reaches: f.reaches, Clock: port.SystemClock{}, Log: slog.New(slog.DiscardHandler)})
 	ctx, stop := context.WithCancel(context.Background())
-	h.stop = stop
+	h.ctx, h.stop = ctx, stop
 	f.mu.Lock()
 	if former := f.hosts[id]; former != nil {
 		former.stop()
@@ -86,7 +90,11 @@
 func (f *fleet) snapshot() *facts.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := &facts.Snapshot{Usable: map[string][]*catalog.Endpoint{"pool": slices.Clone(f.endpoints)}, CrashEntries: make(map[string]string)}
+	s := &facts.Snapshot{Usable: map[string][]*catalog.Endpoint{"pool": slices.Clone(f.endpoints)}, CrashEntries: make(map[string]string),
+		Incarnations: make(map[catalog.Incarnation]bool), ConfirmedAt: time.Now()}
+	for _, e := range f.endpoints {
+		s.Incarnations[e.Incarnation()] = true
+	}
 	for key, value := range f.items {
 		if name, ok := EntryName(key); ok {
 			s.CrashEntries[name] = value
@@ -211,10 +219,15 @@
 	sound = poison.NewRequest("", &port.Exchange{ID: "s", Target: "/s", Prompt: []port.PromptPart{{ID: "first"}, {ID: "fine"}, {ID: "own-s"}}})
 )
 
+// breakOff has an endpoint break the connection of a request.
+func (h *fakeHost) breakOff(r *poison.Request, e *catalog.Endpoint) {
+	h.guard.Begin(r.ID(), e, r.Traits).End(Broken)
+}
+
 // crash has an endpoint crash under a bad request at one host, and a sound response
 // arrive at another.
 func (f *fleet) crash(n int, host string) {
-	f.hosts[host].guard.ReportCrash(badRequest(n), f.endpoints[n])
+	f.hosts[host].breakOff(badRequest(n), f.endpoints[n])
 	time.Sleep(200 * time.Millisecond)
 	f.hosts["edge-1"].guard.ReportResponse(sound, "pool")
 	time.Sleep(200 * time.Millisecond)
@@ -329,7 +342,7 @@
 		left := f.endpoints
 		f.set(func() { f.endpoints = nil })
 		for _, e := range left {
-			f.hosts["edge-0"].guard.ReportCrash(bad, e)
+			f.hosts["edge-0"].breakOff(bad, e)
 		}
 		is.True(f.hosts["edge-0"].guard.ledger.Idle())
 	})
--- a/internal/crashing/entries.go
+++ b/internal/crashing/entries.go
@@ -74,8 +74,10 @@
 	return poison.Trait(name)
 }
 
-// Observe applies the entries of a snapshot that are new or changed.
+// Observe applies the entries of a snapshot that are new or changed, and finds endpoints in it
+// that have started anew.
 func (g *Guard) Observe(s *facts.Snapshot) {
+	g.observeEndpoints(s)
 	g.entries.mu.Lock()
 	defer g.entries.mu.Unlock()
 	for name := range g.entries.seen {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -45,6 +45,9 @@
 	// carriedBytes is the memory that an exchange takes that this host carries for another
 	// one; all of them together get 1/8 of the host's memory.
 	carriedBytes = 64 << 10
+	// reachSample is the number of other endpoints that are probed to learn whether this host
+	// reaches any.
+	reachSample = 3
 	// firstStartSpread bounds the time within which all hosts start when the whole
 	// system starts for the first time, with the differences of their clocks.
 	firstStartSpread = 10 * time.Second
@@ -146,6 +149,7 @@
 	self := facts.Host{ID: s.HostID, Zone: s.Zone, Address: s.PeersAddress, StartedUnixMs: n.startedUnixMs, Cores: s.Cores, LinkMbps: s.LinkMbps}
 	n.health = health.New(health.Config{Client: p.Endpoints, UsableEndpoints: n.usableEndpoints, OnChange: func() { n.stages.Refresh() },
 		Rest: n.advisories.Rest, ProbeOverPeers: func(ctx context.Context, e *catalog.Endpoint) error { return n.relay.ProbeOverPeers(ctx, e) }, OnPathFound: n.balancer.PathFound,
+		OnUnreachable: func(e *catalog.Endpoint) { n.crashes.EndpointUnreachable(e) }, OnResponse: func(e *catalog.Endpoint) { n.crashes.EndpointResponded(e) },
 		Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.overload = overload.New(clock, log, n.metrics.Scope)
 	group, err := peering.Listen(peering.Config{Self: self, KeyPrefix: p.KeyPrefix, Store: p.Store, Clock: clock, Log: log,
@@ -168,7 +172,8 @@
 	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, RecordPrefix: p.RecordPrefix, MinLease: s.MinLease,
 		StoreAvailable: n.replica.StoreAvailable, Watch: n.replica.Watch,
 		Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
-	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, Clock: clock, Log: log, Metrics: n.metrics.Scope})
+	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, ProbeSilent: n.health.Check, Reaches: n.reachesOther,
+		Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: n.relay, Health: n.health, RateLimits: n.rateLimits, Advisories: n.advisories, LookupService: n.stageService,
 		StageEndpoints: n.stageEndpoints, Overloaded: n.overload.Overloaded, Clock: clock, Log: log})
 	n.server = exchange.New(exchange.Config{Snapshot: n.replica.Current, Balancer: n.balancer, RetryBudgets: n.retryBudgets, Endpoints: n.relay,
@@ -252,8 +257,8 @@
 func (n *Node) endpointResponds(ctx context.Context, e *catalog.Endpoint) bool {
 	responses := make(chan bool, 2)
 	go func() {
-		_, err := n.relay.Probe(ctx, e, true)
-		responses <- err == nil
+		report, err := n.relay.Probe(ctx, e, true)
+		responses <- err == nil && !report.Misdirected
 	}()
 	go func() { responses <- n.relay.ProbeOverPeers(ctx, e) == nil }()
 	for range cap(responses) {
@@ -264,6 +269,26 @@
 	return false
 }
 
+// reachesOther reports whether one of some other endpoints responds to this host.
+func (n *Node) reachesOther(ctx context.Context, e *catalog.Endpoint) bool {
+	others := slices.DeleteFunc(slices.Clone(n.health.Available(n.usableEndpoints())), func(o *catalog.Endpoint) bool { return o.Incarnation() == e.Incarnation() })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), reachSample)]
+	responses := make(chan bool, len(others))
+	for _, o := range others {
+		go func() {
+			_, err := n.relay.Probe(ctx, o, false)
+			responses <- err == nil
+		}()
+	}
+	for range others {
+		if <-responses {
+			return true
+		}
+	}
+	return false
+}
+
 // stageService returns the service with the given name and its endpoints that may
 // be called; nil if it is not known.
 func (n *Node) stageService(name string) (*catalog.Service, []*catalog.Endpoint) {
--- a/internal/exchange/crash_test.go
+++ b/internal/exchange/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -98,7 +99,8 @@
 	blame := func(h *scriptedHost) {
 		for i, e := range h.usable() {
 			own := fmt.Sprint("own-", i)
-			h.crashes.ReportCrash(poison.NewRequest("", &port.Exchange{Target: "/" + own, Prompt: []port.PromptPart{{ID: "bad"}, {ID: own}}}), e)
+			r := poison.NewRequest("", &port.Exchange{Target: "/" + own, Prompt: []port.PromptPart{{ID: "bad"}, {ID: own}}})
+			h.crashes.Begin(own, e, r.Traits).End(crashing.Broken)
 		}
 	}
 	for _, row := range []struct {
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -9,6 +9,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/balance"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -164,8 +165,11 @@
 	startedAt := r.cfg.Clock.Now()
 	silence := time.AfterFunc(max(minVerifyDelay, r.route.TargetLatency), func() { r.cfg.Health.Verify(e) })
 	defer silence.Stop()
+	atEndpoint := r.cfg.Crashes.Begin(r.exchange.ID, e, r.request.Traits)
 	err := r.cfg.Endpoints.Forward(ctx, request, func(response *port.EndpointResponse) error {
 		silence.Stop()
+		atEndpoint.Heard()
+		response.Body = atEndpoint.Body(response.Body)
 		load = response.Load
 		r.checkEnd(ctx, e, response)
 		return r.handleResponse(ctx, response, failover, startedAt)
@@ -177,26 +181,31 @@
 	if outcome == balance.ConnectionFailed || outcome == balance.GivenUp {
 		r.cfg.Health.RecordFailure(e)
 	}
-	r.record.takenForCrash = outcome == balance.ConnectionFailed && r.mayHaveCrashed(err)
-	switch {
-	case err == nil && isSuccess(r.record.status):
+	result := r.attemptResult(outcome, err)
+	r.record.takenForCrash = result == crashing.Broken
+	atEndpoint.End(result)
+	if err == nil && isSuccess(r.record.status) {
 		r.cfg.Crashes.ReportResponse(r.request, e.Service)
-	case r.record.takenForCrash:
-		r.cfg.Crashes.ReportCrash(r.request, e)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
 	return err
 }
 
-// mayHaveCrashed reports whether err, the error of the last attempt, is what a crash of the
-// endpoint looks like that the exchange may have caused: the endpoint broke the
-// connection before the deadline, at which it stops by itself, and the exchange had not
-// been receiving its response for long.
-func (r *exchangeRun) mayHaveCrashed(err error) bool {
-	if verdict.Of(err) == verdict.NotRun || !port.IsConnectionLoss(err) || r.remainingTime() <= deadlineMargin {
-		return false
+// attemptResult returns how the last attempt ended, for the guard against crashes. At the deadline
+// endpoints break connections by themselves.
+func (r *exchangeRun) attemptResult(outcome balance.Outcome, err error) crashing.Result {
+	switch {
+	case err == nil, verdict.Of(err) == verdict.NotRun, outcome == balance.NoCapacity, outcome == balance.AddressReused:
+		return crashing.Answered
+	case outcome == balance.Failed && verdict.From(err).Code != verdict.CodeDeadlineExceeded:
+		return crashing.Answered
+	case !r.respondingSince.IsZero() && r.cfg.Clock.Now().Sub(r.respondingSince) > maxCrashDelay:
+		return crashing.Answered
+	case outcome == balance.ConnectionFailed && port.IsConnectionLoss(err) && r.remainingTime() > deadlineMargin:
+		return crashing.Broken
+	default:
+		return crashing.Unanswered
 	}
-	return r.respondingSince.IsZero() || r.cfg.Clock.Now().Sub(r.respondingSince) <= maxCrashDelay
 }
 
 // classifyOutcome returns the outcome of an attempt for the balancer. parent is
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -93,8 +93,13 @@
 	// this host's path to it responds over other hosts. It may be nil. Calls may be
 	// concurrent.
 	OnPathFound func(e *catalog.Endpoint)
-	Clock       port.Clock
-	Log         *slog.Logger
+	// OnUnreachable is called after each probe of an endpoint that responds neither to this
+	// host nor to another one, and OnResponse once an endpoint responds to a probe, also over
+	// other hosts. Both may be nil. Calls may be concurrent.
+	OnUnreachable, OnResponse func(e *catalog.Endpoint)
+
+	Clock port.Clock
+	Log   *slog.Logger
 	// Metrics may be nil; then no metrics are recorded.
 	Metrics tally.Scope
 }
@@ -220,6 +225,14 @@
 	}
 }
 
+// Check starts to probe an endpoint, unless it has asked for rest, and leaves it available
+// meanwhile.
+func (m *Monitor) Check(e *catalog.Endpoint) {
+	if m.Rest(e) == 0 {
+		m.startProbing(e)
+	}
+}
+
 // Sweep starts to probe up to maxEndpointsPerSweep endpoints of a zone, those with
 // work of this host first. It does nothing within minSweepInterval of the zone's
 // last sweep, or while the path to all endpoints is lost.
@@ -328,19 +341,23 @@
 func (m *Monitor) probeUntilResponsive(e *catalog.Endpoint, s *endpointState) {
 	interval, peersInterval := minProbeInterval, minProbeInterval
 	var askPeersAt time.Time
+	var report port.EndpointReport
 	var err error
 	for missed := 0; ; {
 		if rest := m.Rest(e); rest > 0 {
 			port.Sleep(m.ctx, rest)
 		}
 		if missed < unreachableThreshold || !m.PathLost() {
-			err = m.probe(e)
+			report, err = m.probe(e)
 		}
 		if m.ctx.Err() != nil {
 			return
 		}
 		if err == nil || !m.isUsable(e) {
 			m.finishProbing(e, s, err == nil)
+			if err == nil {
+				m.notify(e, !report.Misdirected)
+			}
 			return
 		}
 		if missed++; missed >= unreachableThreshold {
@@ -354,6 +371,7 @@
 				}
 			}
 			m.markUnreachable(e, s, err, overPeers)
+			m.notify(e, overPeers)
 			m.awaitNextProbe(s, interval)
 			interval = min(maxProbeInterval, 2*interval)
 		}
@@ -368,11 +386,21 @@
 	return m.cfg.Rest(e)
 }
 
-func (m *Monitor) probe(e *catalog.Endpoint) error {
+func (m *Monitor) probe(e *catalog.Endpoint) (port.EndpointReport, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, probeTimeout)
 	defer cancel()
-	_, err := m.cfg.Client.Probe(ctx, e, true)
-	return err
+	return m.cfg.Client.Probe(ctx, e, true)
+}
+
+// notify tells whether an endpoint responds to any host.
+func (m *Monitor) notify(e *catalog.Endpoint, responds bool) {
+	notify := m.cfg.OnUnreachable
+	if responds {
+		notify = m.cfg.OnResponse
+	}
+	if notify != nil {
+		notify(e)
+	}
 }
 
 func (m *Monitor) isOverPeers(s *endpointState) bool {
--- a/internal/health/pathloss.go
+++ b/internal/health/pathloss.go
@@ -100,7 +100,7 @@
 	responses := make(chan struct{}, pathSample)
 	for _, e := range list[:min(pathSample, len(list))] {
 		probes.Go(func() {
-			if m.probe(e) == nil {
+			if _, err := m.probe(e); err == nil {
 				responses <- struct{}{}
 			}
 		})
