Count crashes of the endpoints of stages, and refuse the pieces that cause them

What callers saw: a staged request whose pieces crash the endpoint that runs them went on crashing endpoints, 24 and 25 times later than 3 s after the third, and took all others on its route with it: 1 to 7 of 16 sound requests served.

Cause: stage calls reported no crashes, and nothing was asked before their pieces were called; each piece was tried four times.

A plan carries the trait of its whole request. The coordinator begins and ends an attempt for each call, with the requests in it, as hosts do for requests; asks before it admits a plan and before each call; and cancels plans that are blamed meanwhile. A plan whose pieces were all made clears its request. Requests in one call can't be told apart by its crash, so the pieces of a request that one more crash would have blamed are called alone.

--- a/internal/core/gather/queue.go
+++ b/internal/core/gather/queue.go
@@ -93,8 +93,25 @@
 	// DeferStart reports whether a late job should not be started yet; nil means
 	// that it is never deferred. NextCalls calls it.
 	DeferStart func() bool
+	// Caution says how the job's pieces may be called, as they may crash endpoints; nil stands
+	// for Unrestricted. NextCalls calls it.
+	Caution func() Caution
 }
 
+// Caution is how a job's pieces may be called.
+type Caution uint8
+
+// The cautions.
+const (
+	// Unrestricted pieces share calls with those of other jobs.
+	Unrestricted Caution = iota
+	// Alone has the pieces called without those of other jobs, so that a crash concerns the job
+	// alone.
+	Alone
+	// Held pieces are not called.
+	Held
+)
+
 // FinishedJob is the outcome of a job.
 type FinishedJob struct {
 	Job *Job
@@ -124,6 +141,8 @@
 	startedAt time.Time
 	// expectedTime is the duration at an endpoint at full speed.
 	expectedTime time.Duration
+	// alone means that the call has the pieces of one job only.
+	alone bool
 }
 
 // Elapsed returns the time since the call started.
@@ -171,6 +190,8 @@
 	// late is set while the soft deadline can't be met, boosted while a late job is
 	// scheduled among those in time. classifyAndSortJobs updates both.
 	late, boosted bool
+	// alone is set while Caution is Alone.
+	alone bool
 }
 
 // Queue holds the jobs of one service. It does no I/O, takes the time as an
--- a/internal/core/gather/queue_test.go
+++ b/internal/core/gather/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -404,3 +405,26 @@
 	is.Equal(out[0].Job.ID, "later")
 	is.Equal(out[0].Failure, port.PieceInputMissing)
 }
+
+// TestSuspectedJobsAreCalledAlone guards against sound requests that are taken for the cause of a
+// crash because their pieces share each call with those that crash endpoints, and against calls of
+// pieces that are refused.
+func TestSuspectedJobsAreCalledAlone(t *testing.T) {
+	is := is.New(t)
+	q := newQueue("kranj", "kranj", "kranj")
+	for id, caution := range map[string]Caution{"a": Unrestricted, "b": Unrestricted, "suspected": Alone, "refused": Held} {
+		j := newJob(id, 2, 8000)
+		j.Caution = func() Caution { return caution }
+		q.Add(epoch, j)
+	}
+	requests := make(map[string]int)
+	for _, c := range q.NextCalls(epoch) {
+		if slices.Contains(c.Requests(), "suspected") {
+			is.Equal(c.Requests(), []string{"suspected"})
+		}
+		for _, id := range c.Requests() {
+			requests[id]++
+		}
+	}
+	is.Equal(requests, map[string]int{"a": 1, "b": 1, "suspected": 1})
+}
--- a/internal/core/gather/schedule.go
+++ b/internal/core/gather/schedule.go
@@ -22,6 +22,14 @@
 		if p.late && !p.boosted && p.startedAt.IsZero() && p.DeferStart != nil && p.DeferStart() {
 			continue
 		}
+		caution := Unrestricted
+		if p.Caution != nil {
+			caution = p.Caution()
+		}
+		if caution == Held {
+			continue
+		}
+		p.alone = caution == Alone
 		for len(p.waiting) > 0 {
 			e := q.chooseEndpoint(now, available, calls, p)
 			if e == nil {
@@ -130,6 +138,9 @@
 	for _, e := range available {
 		n := 0
 		if c := calls[e]; c != nil {
+			if p.alone || c.alone {
+				continue
+			}
 			n = len(c.Pieces)
 		}
 		batch := q.service.StageLimits.MaxBatch
@@ -196,7 +207,7 @@
 func (q *Queue) fillCall(now time.Time, e *endpoint, calls map[*endpoint]*Call, p *pendingJob) {
 	c := calls[e]
 	if c == nil {
-		c = &Call{Endpoint: e.Endpoint}
+		c = &Call{Endpoint: e.Endpoint, alone: p.alone}
 		calls[e] = c
 	}
 	if p.startedAt.IsZero() {
--- a/internal/crashing/crashing.go
+++ b/internal/crashing/crashing.go
@@ -119,7 +119,16 @@
 // be sent to an endpoint, nil otherwise. Call it before each attempt: what the ledger
 // blames changes while requests wait.
 func (g *Guard) Check(r *poison.Request) error {
-	blame, blamed := g.ledger.BlamedRequest(r)
+	return g.refusal(g.ledger.BlamedRequest(r))
+}
+
+// CheckTrait is Check for the pieces of a request of which only the trait of the whole is known.
+func (g *Guard) CheckTrait(t poison.Trait) error {
+	return g.refusal(g.ledger.Blamed([]poison.Trait{t}))
+}
+
+// refusal returns the error for a blame, nil if there is none.
+func (g *Guard) refusal(blame poison.Blame, blamed bool) error {
 	if !blamed {
 		return nil
 	}
@@ -134,6 +143,18 @@
 	g.ledger.Responded(service, r)
 }
 
+// ReportPieces records that all pieces of a request, of which only the trait of the whole is
+// known, were made by endpoints of the services.
+func (g *Guard) ReportPieces(t poison.Trait, services []string) {
+	for _, service := range services {
+		g.ledger.Completed(service, []poison.Trait{t})
+	}
+}
+
+// Suspicion returns how much speaks against a request of which only the trait of the whole is
+// known.
+func (g *Guard) Suspicion(t poison.Trait) poison.Suspicion { return g.ledger.Suspicion(t) }
+
 // evidence returns the message with the evidence of this host, with fresh only what is new.
 func (g *Guard) evidence(fresh bool) message {
 	return message{Reports: g.ledger.Reports(fresh), Alive: g.ledger.AliveReports(fresh)}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -80,8 +81,10 @@
 	StageEndpoints func() []*catalog.Endpoint
 	// Overloaded reports whether this host's processor does not keep up.
 	Overloaded func() bool
-	Clock      port.Clock
-	Log        *slog.Logger
+	// Crashes knows the requests whose pieces crash endpoints; nil if nothing does.
+	Crashes *crashing.Guard
+	Clock   port.Clock
+	Log     *slog.Logger
 }
 
 // Dispatcher has plans run by the coordinator of a group of endpoints. It is safe for
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 )
 
@@ -69,6 +70,9 @@
 	// HandedOver says that a coordinator returned verdict.CodeNotReady, as it does
 	// when it hands a plan over. The plan is not handed over again.
 	HandedOver bool `cbor:"8,keyasint,omitempty"`
+	// Trait is that of the whole request, by which crashes of endpoints are counted; empty if
+	// it is not known.
+	Trait poison.Trait `cbor:"9,keyasint,omitempty"`
 	// SoftDeadline is when the results should be available for the request to be
 	// in time; HardDeadline is when they must be available for it to be answered
 	// at all.
@@ -161,6 +165,9 @@
 	if err := p.validate(); err != nil {
 		return Results{}, err
 	}
+	if err := sc.checkCrashes(p); err != nil {
+		return Results{}, err
+	}
 	forecast, err := sc.admit(p)
 	if err != nil {
 		return Results{}, err
@@ -176,6 +183,7 @@
 		if err = r.run(ctx); err == nil {
 			took := sc.cfg.Clock.Now().Sub(startedAt)
 			sc.observeForecast(p, forecast, took)
+			sc.reportMade(p)
 			sc.cfg.Log.Info("stages made", slog.String("request", p.Request), slog.String("zone", p.Zone), slog.Bool("admitted_late", p.admittedLate),
 				slog.Int64("forecast_ms", forecast.Milliseconds()), slog.Int64("took_ms", took.Milliseconds()),
 				slog.Int64("due_in_ms", p.SoftDeadline.Sub(sc.cfg.Clock.Now()).Milliseconds()), slog.Any("waits_ms", r.queueWaitsMs()))
@@ -232,6 +240,9 @@
 	if len(s.DependsOn) == 0 {
 		job.Key = r.Key
 	}
+	if r.Trait != "" && r.scheduler.cfg.Crashes != nil {
+		job.Caution = func() gather.Caution { return r.scheduler.caution(r.Plan) }
+	}
 	inputBytes := int64(0)
 	for _, dependency := range s.DependsOn {
 		select {
--- a/internal/stagework/scheduler.go
+++ b/internal/stagework/scheduler.go
@@ -19,8 +19,10 @@
 	"github.com/pimentorill/pimentorill/internal/core/advisory"
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 	"github.com/pimentorill/pimentorill/internal/core/gather"
+	"github.com/pimentorill/pimentorill/internal/core/poison"
 	"github.com/pimentorill/pimentorill/internal/core/ratelimit"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
+	"github.com/pimentorill/pimentorill/internal/crashing"
 	"github.com/pimentorill/pimentorill/internal/health"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
@@ -54,8 +56,10 @@
 	// LookupService returns a service and its endpoints; nil if the service is
 	// unknown.
 	LookupService func(service string) (*catalog.Service, []*catalog.Endpoint)
-	Clock         port.Clock
-	Log           *slog.Logger
+	// Crashes knows the requests whose pieces crash endpoints; nil if nothing does.
+	Crashes *crashing.Guard
+	Clock   port.Clock
+	Log     *slog.Logger
 }
 
 // Scheduler holds the queues of the services of one group that this host
@@ -271,9 +275,10 @@
 func (sc *Scheduler) startCalls(q *queue) {
 	now := sc.cfg.Clock.Now()
 	sc.deliverFinished(q, q.Expire(now))
+	sc.cancelRefused()
 	for _, c := range q.NextCalls(now) {
 		sc.cfg.RateLimits.RecordSend(c.Endpoint.Incarnation())
-		go sc.makeCall(q, c)
+		go sc.makeCall(q, c, sc.traitsOf(c))
 	}
 }
 
@@ -296,13 +301,16 @@
 
 // makeCall makes a call and applies its outcome. The call is cancelled once the
 // health monitor finds its endpoint unreachable.
-func (sc *Scheduler) makeCall(q *queue, c *gather.Call) {
+// traits are those of the requests with pieces in the call.
+func (sc *Scheduler) makeCall(q *queue, c *gather.Call, traits []poison.Trait) {
 	reachable, release := sc.cfg.Health.WhileReachable(context.Background(), c.Endpoint, sc.cfg.Health.PathTo(c.Endpoint))
 	defer release()
 	ctx, cancel := context.WithTimeout(reachable, c.Timeout)
 	defer cancel()
+	ended := sc.beginCall(c, traits)
 	results, err := sc.cfg.Endpoints.RunPieces(ctx, c.Endpoint, c.Pieces)
 	notRun := err != nil && verdict.Of(err) == verdict.NotRun
+	ended(err)
 	if err != nil {
 		switch verdict.From(err).Code {
 		case verdict.CodeEndpointFailed:
