Pass on in a planned stop only what an endpoint can finish in time

Cause: a host that stops refuses what arrives after 2.5 s, and what is at no endpoint 0.7 s before its end; nothing bounded when a request that waits may be passed on.

From the beginning of a stop, a request is passed on only if endpoints would probably finish it before the end, by the longest run on the route of late, which declines with shorter ones. Otherwise its caller gets 503, not run, at once, and may go to another host. A stream that has begun, and what follows an attempt that was given up, goes on. A host that is leaving also carries no new calls for others.

--- a/internal/exchange/failover.go
+++ b/internal/exchange/failover.go
@@ -258,12 +258,12 @@
 		return nil, errNotResumable
 	}
 	for {
-		if err := r.cfg.Crashes.Check(r.request); err != nil {
+		if err := r.checkSend(); err != nil {
 			return nil, err
 		}
 		err := r.rerunStages(ctx, lastErr)
 		if err == nil {
-			if err := r.cfg.Crashes.Check(r.request); err != nil {
+			if err := r.checkSend(); err != nil {
 				return nil, err
 			}
 			lastErr = nil
@@ -286,6 +286,15 @@
 	}
 }
 
+// checkSend returns a *verdict.Error if the exchange is not to be sent to another endpoint: it may
+// crash it, or this host would cut it.
+func (r *exchangeRun) checkSend() error {
+	if err := r.cfg.Crashes.Check(r.request); err != nil {
+		return err
+	}
+	return r.checkTimeLeft()
+}
+
 // pause waits until d has passed, ctx ends or waiting exchanges are refused.
 func (r *exchangeRun) pause(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -181,6 +181,7 @@
 	r.record.takenForCrash = result == crashing.Broken
 	atEndpoint.End(result)
 	if err == nil && isSuccess(r.record.status) {
+		r.recordRunTime(r.cfg.Clock.Now().Sub(startedAt))
 		r.cfg.Crashes.ReportResponse(r.request, e.Service)
 	}
 	r.cfg.Balancer.Done(e, outcome, load)
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -43,6 +43,8 @@
 	// host that has some sooner.
 	minRateLimitRetry = 100 * time.Millisecond
 	maxRateLimitRetry = time.Second
+	// runTimeDecline is the weight of a run that is shorter than the longest one of late.
+	runTimeDecline = 0.1
 )
 
 // Config holds the dependencies of a Server.
@@ -81,8 +83,13 @@
 	// firstEventTimes holds the moving average of the time from the start of an
 	// attempt to its first event, by route name.
 	firstEventTimes map[string]time.Duration
+	// runTimes holds how long endpoints ran exchanges of late, by route name: the longest time,
+	// which declines with each shorter one.
+	runTimes map[string]time.Duration
 	// refusingNew is set once new exchanges are refused.
 	refusingNew bool
+	// endsAt is when the exchanges in progress are cut; zero if they are not.
+	endsAt time.Time
 	// ending ends once exchanges that are at no endpoint are refused.
 	ending     context.Context
 	endWaiting context.CancelFunc
@@ -91,7 +98,7 @@
 // New returns a Server.
 func New(cfg Config) *Server {
 	ending, endWaiting := context.WithCancel(context.Background())
-	return &Server{cfg: cfg, bodies: newBodyBudget(cfg.MaxHeldBytes), rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration), ending: ending, endWaiting: endWaiting}
+	return &Server{cfg: cfg, bodies: newBodyBudget(cfg.MaxHeldBytes), rand: cfg.Rand, firstEventTimes: make(map[string]time.Duration), runTimes: make(map[string]time.Duration), ending: ending, endWaiting: endWaiting}
 }
 
 // Limits returns the current limits on callers' requests.
@@ -102,6 +109,38 @@
 	return catalog.Limits{}
 }
 
+// EndBy tells the server that exchanges in progress are cut at a time: from now on it passes none
+// on that endpoints would probably not finish until then. Their callers hear at once that they may
+// go to another host.
+func (s *Server) EndBy(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endsAt = end
+}
+
+// checkTimeLeft returns errHostLeaving if the next attempt would probably be cut. One that goes on with
+// a stream, or takes the place of an attempt that was given up, is made anyway.
+func (r *exchangeRun) checkTimeLeft() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runTime, ok := r.runTimes[r.route.Name]
+	if !ok {
+		runTime = r.route.TargetLatency
+	}
+	if r.endsAt.IsZero() || r.mustGoOn || r.stream.started || r.cfg.Clock.Now().Add(runTime).Before(r.endsAt) {
+		return nil
+	}
+	return errHostLeaving
+}
+
+// recordRunTime records how long an endpoint ran the exchange.
+func (r *exchangeRun) recordRunTime(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.runTimes[r.route.Name]
+	r.runTimes[r.route.Name] = max(d, known+time.Duration(runTimeDecline*float64(d-known)))
+}
+
 // RefuseNew makes the server refuse all exchanges that arrive from now on.
 func (s *Server) RefuseNew() {
 	s.mu.Lock()
--- a/internal/relay/carried.go
+++ b/internal/relay/carried.go
@@ -49,6 +49,8 @@
 	mu        sync.Mutex
 	exchanges map[string]*carriedExchange
 	running   int
+	// refusing is set once further exchanges are refused.
+	refusing bool
 	// cancelled holds the ids of exchanges that were cancelled before they arrived.
 	cancelled map[string]time.Time
 	// respondedAt is when each endpoint last responded to this host, of those that have since
@@ -68,6 +70,12 @@
 
 func (c *carried) close() { c.cancel() }
 
+func (c *carried) refuseNew() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = true
+}
+
 func (c *carried) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -223,7 +231,8 @@
 	return c.awaitProgress(ctx, x, readRequest{ID: r.ID})
 }
 
-// begin registers an exchange; nil if it was cancelled before or there are too many.
+// begin registers an exchange; nil if it was cancelled before, there are too many or the host is
+// leaving.
 func (c *carried) begin(r *forwardRequest) (*carriedExchange, context.Context) {
 	now := c.cfg.Clock.Now()
 	c.mu.Lock()
@@ -233,7 +242,7 @@
 			delete(c.cancelled, id)
 		}
 	}
-	if _, cancelled := c.cancelled[r.ID]; cancelled || c.running >= c.cfg.MaxCarried || c.ctx.Err() != nil {
+	if _, cancelled := c.cancelled[r.ID]; cancelled || c.refusing || c.running >= c.cfg.MaxCarried || c.ctx.Err() != nil {
 		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, r.Remaining)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,6 +123,9 @@
 // Carrying returns the number of exchanges that this host carries for others.
 func (c *Client) Carrying() int { return c.carried.count() }
 
+// RefuseNew makes this host carry no further exchanges for others. Those in progress go on.
+func (c *Client) RefuseNew() { c.carried.refuseNew() }
+
 // Close cancels the exchanges that this host carries and refuses others.
 func (c *Client) Close() { c.carried.close() }
 
