Give hosts that start anew in series no second part of the retry slack

Cause: a host forgets, as it starts anew, what it has used of the budget within the window. The spare shares make up for two starts; eight hosts that start one after the other within a window used 80 retries of a slack of 56.

A host that started within the window has no part of the slack until the window is over, if more hosts than there are spare shares have started in it, except as the whole system starts for the first time. Retries by the ratio to its own first attempts remain.

Not covered: all hosts killed and started at once while the settings still say that it is the first start.

--- a/internal/core/quota/quota.go
+++ b/internal/core/quota/quota.go
@@ -33,6 +33,8 @@
 
 	mu        sync.Mutex
 	hostCount int
+	// slackFrom is when this host has a part of the slack.
+	slackFrom time.Time
 	// counts holds the counts of each service, by service name.
 	counts map[string]*windowCounts
 }
@@ -61,6 +63,14 @@
 	r.hostCount = max(1, n)
 }
 
+// HoldSlack says that this host has no part of the slack until a time: a host that has started
+// anew within the window doesn't know what it used before.
+func (r *RetryBudgets) HoldSlack(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slackFrom = until
+}
+
 // RecordFirstAttempts counts n first attempts at a service.
 func (r *RetryBudgets) RecordFirstAttempts(service string, n int) {
 	r.mu.Lock()
@@ -80,7 +90,11 @@
 		firstAttempts += c.firstAttempts[i]
 		retries += c.retries[i]
 	}
-	if float64(retries+n) > r.limit.Ratio*float64(firstAttempts)+r.limit.Slack/float64(r.hostCount) {
+	slack := r.limit.Slack / float64(r.hostCount)
+	if r.clock.Now().Before(r.slackFrom) {
+		slack = 0
+	}
+	if float64(retries+n) > r.limit.Ratio*float64(firstAttempts)+slack {
 		return false
 	}
 	c.retries[c.currentBucket%bucketCount] += n
--- a/internal/core/quota/quota_test.go
+++ b/internal/core/quota/quota_test.go
@@ -78,3 +78,16 @@
 	clock.now = clock.now.Add(1100 * time.Millisecond)
 	is.True(r.TryTake("a", 1))
 }
+
+func TestHostWithoutSlackHasItsRatio(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Unix(0, 0)}
+	r := NewRetryBudgets(RetryLimit{Ratio: 0.2, Slack: 10, Window: time.Second}, clock)
+	r.HoldSlack(clock.now.Add(time.Second))
+	is.True(!r.TryTake("a", 1))
+	r.RecordFirstAttempts("a", 5)
+	is.True(r.TryTake("a", 1))
+	is.True(!r.TryTake("a", 1))
+	clock.now = clock.now.Add(time.Second)
+	is.True(r.TryTake("a", 10))
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -46,6 +46,9 @@
 		return
 	}
 	n.rateLimits.SetHosts(slices.Collect(maps.Keys(known)))
+	if holdsSlack(known, n.startedUnixMs, n.settings.RetryWindow, now) && !n.startedFirst(known) {
+		n.retryBudgets.HoldSlack(time.UnixMilli(n.startedUnixMs).Add(n.settings.RetryWindow))
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if ids, changed := n.recentHosts.update(known, now); changed {
@@ -54,3 +57,17 @@
 		n.retryBudgets.SetHostCount(len(ids) + spareHosts)
 	}
 }
+
+// holdsSlack reports whether a host that started at a time, in Unix milliseconds, has no part of
+// the slack of retries: it doesn't know what it used before, and more hosts have started within
+// the window than the spare shares make up for.
+func holdsSlack(known map[string]facts.Host, startedUnixMs int64, window time.Duration, now time.Time) bool {
+	isRecent := func(startedUnixMs int64) bool { return now.Sub(time.UnixMilli(startedUnixMs)) < window }
+	recent := 0
+	for _, h := range known {
+		if isRecent(h.StartedUnixMs) {
+			recent++
+		}
+	}
+	return isRecent(startedUnixMs) && recent > spareHosts
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -171,7 +171,7 @@
 	sharing.handleRequests(n.replica)
 	n.origins = origins.New(origins.Config{Peers: group, HostID: s.HostID, Store: p.Store, KeyPrefix: p.KeyPrefix, RecordPrefix: p.RecordPrefix, MinLease: s.MinLease,
 		StoreAvailable: n.replica.StoreAvailable, Watch: n.replica.Watch,
-		Snapshot: n.replica.Current, StartedFirst: n.startedFirst, Clock: clock, Log: log, Metrics: n.metrics.Scope})
+		Snapshot: n.replica.Current, StartedFirst: func(s *facts.Snapshot) bool { return n.startedFirst(s.Hosts) }, Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.crashes = crashing.New(crashing.Config{Peers: group, Store: p.Store, KeyPrefix: p.KeyPrefix, Snapshot: n.replica.Current, Responds: n.endpointResponds, ProbeSilent: n.health.Check, Reaches: n.reachesOther,
 		Clock: clock, Log: log, Metrics: n.metrics.Scope})
 	n.stages = stagework.NewDispatcher(stagework.Config{Peers: group, Zone: s.Zone, Endpoints: n.relay, Health: n.health, RateLimits: n.rateLimits, Advisories: n.advisories, LookupService: n.stageService,
@@ -350,8 +350,8 @@
 
 // startedFirst reports whether the whole system starts for the first time: the settings
 // say so, and no other host started long before this one.
-func (n *Node) startedFirst(s *facts.Snapshot) bool {
-	return n.settings.FirstStart && !slices.ContainsFunc(slices.Collect(maps.Values(s.Hosts)), func(h facts.Host) bool {
+func (n *Node) startedFirst(known map[string]facts.Host) bool {
+	return n.settings.FirstStart && !slices.ContainsFunc(slices.Collect(maps.Values(known)), func(h facts.Host) bool {
 		return h.StartedUnixMs < n.startedUnixMs-firstStartSpread.Milliseconds()
 	})
 }
