Probe silent endpoints once for each silence, and believe no response of another one

An endpoint whose open attempts had all been counted was probed every 2 s; only attempts that may still be the cause of a silence have it probed now. A host that asked others about an endpoint took a response of the next one at its address for its own, so that a crash could be dismissed (TestOtherEndpointAtTheAddressIsNotReached failed before).

--- a/internal/crashing/attempts.go
+++ b/internal/crashing/attempts.go
@@ -264,8 +264,8 @@
 	}
 }
 
-// isUnknown reports whether an attempt may be the cause of the silence of its endpoint and has not
-// been found to be.
+// isUnknown reports whether an attempt may be the cause of a silence of its endpoint and has not
+// been counted as one.
 func isUnknown(o *openEndpoint, a *Attempt) bool {
 	return !a.silent && !a.counted && (a.endedAt.IsZero() || !o.heardAt.After(a.endedAt))
 }
@@ -347,8 +347,8 @@
 }
 
 // watchAttempts probes the endpoints that are silent, and those that responded too soon after a
-// crash to tell that they had not ended, forgets attempts that ended long ago, and
-// tells the ledger which endpoints have responded.
+// crash to tell that they had not ended. It forgets attempts that ended long ago, and tells the
+// ledger which endpoints have responded.
 func (g *Guard) watchAttempts() {
 	now := g.cfg.Clock.Now()
 	idle := g.ledger.Idle()
@@ -406,16 +406,15 @@
 
 // isSilent reports whether an endpoint with open attempts is to be probed.
 func (o *openEndpoint) isSilent(now time.Time) bool {
-	var first time.Time
+	if now.Sub(o.heardAt) < silenceTime || now.Sub(o.probedAt) < probeInterval {
+		return false
+	}
 	for a := range o.attempts {
-		if !a.silent && !a.counted && (first.IsZero() || a.startedAt.Before(first)) {
-			first = a.startedAt
+		if isUnknown(o, a) && now.Sub(a.startedAt) >= silenceTime {
+			return true
 		}
 	}
-	if first.Before(o.heardAt) {
-		first = o.heardAt
-	}
-	return !first.IsZero() && now.Sub(first) >= silenceTime && now.Sub(o.probedAt) >= probeInterval
+	return false
 }
 
 // observeEndpoints counts the open attempts at endpoints that have ended without having announced
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
 )
 
@@ -36,6 +37,9 @@
 	noticeTimeout  = 10 * time.Second
 )
 
+// errMisdirected means that another endpoint has the address of the one that was looked for.
+var errMisdirected = verdict.New(verdict.CodeEndpointFailed, verdict.NotRun, "another endpoint has the address")
+
 // carriers are the hosts that carry calls for this one. It is safe for concurrent use.
 type carriers struct {
 	cfg Config
@@ -281,6 +285,8 @@
 	if err == nil {
 		if err = cbor.Unmarshal(encoded, &reply); err == nil && reply.Failure != nil {
 			err = reply.Failure.decode(host)
+		} else if err == nil && reply.Misdirected {
+			err = errMisdirected
 		}
 	}
 	c.record(host, e, err == nil)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -122,6 +122,8 @@
 
 // fakeClient is the connections of one host to an endpoint.
 type fakeClient struct {
+	// misdirected has another endpoint answer at the address.
+	misdirected bool
 	port.EndpointClient
 	// lost means that this host has no path to the endpoint.
 	lost bool
@@ -151,7 +153,7 @@
 	if f.stray {
 		return port.EndpointReport{FreeBytes: -1}, verdict.Wrap(port.ErrOnlyStrayAnswer, verdict.CodeEndpointFailed, verdict.NotRun, "no report")
 	}
-	return port.EndpointReport{FreeBytes: 7}, nil
+	return port.EndpointReport{FreeBytes: 7, Misdirected: f.misdirected}, nil
 }
 
 func (f *fakeClient) RunPieces(_ context.Context, _ *catalog.Endpoint, pieces []port.Piece) ([]port.PieceResult, error) {
--- a/internal/relay/stray_test.go
+++ b/internal/relay/stray_test.go
@@ -22,3 +22,14 @@
 		is.Equal(report, port.EndpointReport{FreeBytes: -1})
 	})
 }
+
+// TestOtherEndpointAtTheAddressIsNotReached guards against the crash of an endpoint that is not
+// counted because another host gets a response at its address, from the next one there.
+func TestOtherEndpointAtTheAddressIsNotReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, respond(nil))
+		f.direct[1].misdirected = true
+		is.True(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint) != nil)
+	})
+}
