Dismiss a crash only by a response of after it

Cause: a host whose connection to an endpoint breaks asks others whether they reach it. A host answered yes if the endpoint had responded to it within the last 0.3 s, which may have been before the crash. The hosts' lines of a bad run show it: 'connection to an endpoint broke, but the endpoint responds' for four of the first six crashes, all by such answers. Seven endpoints within 2 s then looked lost together.

For a crash the other hosts are asked for a response to a probe made now (Anew). Hosts of older builds answer as before.

TestResponseOfBeforeTheCrashIsNoSignOfLife.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -260,7 +260,7 @@
 		report, err := n.relay.Probe(ctx, e, true)
 		responses <- err == nil && !report.Misdirected
 	}()
-	go func() { responses <- n.relay.ProbeOverPeers(ctx, e) == nil }()
+	go func() { responses <- n.relay.RespondsToPeers(ctx, e) }()
 	for range cap(responses) {
 		if <-responses {
 			return true
--- a/internal/relay/carried.go
+++ b/internal/relay/carried.go
@@ -131,7 +131,7 @@
 	c.mu.Lock()
 	recent := c.cfg.Clock.Now().Sub(c.respondedAt[e.Incarnation()]) <= recentResponse
 	c.mu.Unlock()
-	if recent && !r.Report {
+	if recent && !r.Report && !r.Anew {
 		return cbor.Marshal(callReply{FreeBytes: -1})
 	}
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/relay/carriers.go
+++ b/internal/relay/carriers.go
@@ -239,10 +239,11 @@
 }
 
 // find returns nil once a host says that it reaches the endpoint, with toSend one that the
-// endpoint has not asked for rest. The error is that of the last host asked, or errNoCarrier.
-func (c *carriers) find(ctx context.Context, e *catalog.Endpoint, toSend bool) error {
+// endpoint has not asked for rest, and with anew one to which it responds now. The error is that of
+// the last host asked, or errNoCarrier.
+func (c *carriers) find(ctx context.Context, e *catalog.Endpoint, toSend, anew bool) error {
 	defer c.prune()
-	payload, err := cbor.Marshal(probeRequest{Endpoint: refTo(e)})
+	payload, err := cbor.Marshal(probeRequest{Endpoint: refTo(e), Anew: anew})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,7 +151,12 @@
 
 // ProbeOverPeers returns nil if the endpoint responds to another host.
 func (c *Client) ProbeOverPeers(ctx context.Context, e *catalog.Endpoint) error {
-	return c.carriers.find(ctx, e, false)
+	return c.carriers.find(ctx, e, false, false)
+}
+
+// RespondsToPeers reports whether the endpoint responds to another host now.
+func (c *Client) RespondsToPeers(ctx context.Context, e *catalog.Endpoint) bool {
+	return c.carriers.find(ctx, e, false, true) == nil
 }
 
 // Probe implements port.EndpointClient. A probe on a new connection is always direct.
@@ -234,7 +239,7 @@
 	for range maxCarriers {
 		host, rest := c.carriers.pick(e, tried)
 		if host == "" {
-			_ = c.carriers.find(ctx, e, true)
+			_ = c.carriers.find(ctx, e, true, false)
 			host, rest = c.carriers.pick(e, tried)
 		}
 		if host == "" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -122,8 +122,8 @@
 
 // fakeClient is the connections of one host to an endpoint.
 type fakeClient struct {
-	// misdirected has another endpoint answer at the address.
-	misdirected bool
+	// misdirected has another endpoint answer at the address, and crashed has none do so.
+	misdirected, crashed bool
 	port.EndpointClient
 	// lost means that this host has no path to the endpoint.
 	lost bool
@@ -147,7 +147,7 @@
 func (f *fakeClient) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
 
 func (f *fakeClient) Probe(context.Context, *catalog.Endpoint, bool) (port.EndpointReport, error) {
-	if f.lost {
+	if f.lost || f.crashed {
 		return port.EndpointReport{}, unreached()
 	}
 	if f.stray {
--- a/internal/relay/stray_test.go
+++ b/internal/relay/stray_test.go
@@ -33,3 +33,16 @@
 		is.True(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint) != nil)
 	})
 }
+
+// TestResponseOfBeforeTheCrashIsNoSignOfLife guards against crashes that are not counted because
+// another host had a response of the endpoint shortly before.
+func TestResponseOfBeforeTheCrashIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, respond(nil))
+		is.True(f.clients[0].RespondsToPeers(t.Context(), f.endpoint))
+		f.direct[1].crashed = true
+		is.NoErr(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint)) // a response of shortly before is enough for a path
+		is.True(!f.clients[0].RespondsToPeers(t.Context(), f.endpoint))
+	})
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -76,6 +76,8 @@
 type probeRequest struct {
 	Endpoint endpointRef `cbor:"1,keyasint"`
 	Report   bool        `cbor:"2,keyasint,omitempty"`
+	// Anew asks for a response to this probe: one of shortly before is not enough.
+	Anew bool `cbor:"3,keyasint,omitempty"`
 }
 
 // readRequest asks for the progress of an exchange from an offset in the body on. HasHead
