--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -97,9 +97,8 @@
 	// host nor to another one, and OnResponse once an endpoint responds to a probe, also over
 	// other hosts. Both may be nil. Calls may be concurrent.
 	OnUnreachable, OnResponse func(e *catalog.Endpoint)
-
-	Clock port.Clock
-	Log   *slog.Logger
+	Clock                     port.Clock
+	Log                       *slog.Logger
 	// Metrics may be nil; then no metrics are recorded.
 	Metrics tally.Scope
 }
