Log how soon after its request a response arrived

The lines "attempt failed" could not tell a refusal that was sent before the request from one that answers it: both are the first response of a new connection. They now have answer_us, the time from the end of the request to the response.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -23,6 +23,8 @@
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
 	arrivalLimit, arrivalTime time.Duration
+	// sentAt is when the current call's request had been written.
+	sentAt time.Time
 	// openedAt is when the connection was opened, and responses is the number of responses
 	// that it has carried since, those that were discarded included.
 	openedAt  time.Time
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -220,6 +220,7 @@
 	}
 	// A server that stops reading a long body may have responded first.
 	c.reset = writeErr != nil
+	c.sentAt = time.Now()
 	reusable, err := readResponses(c, call)
 	return reusable && writeErr == nil, err
 }
@@ -249,7 +250,7 @@
 		}
 		c.responses++
 		if call.Arrival != nil {
-			*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt)}
+			*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt), SinceSent: time.Since(c.sentAt)}
 		}
 		c.attachBody(resp, call.NoBody)
 		match := MatchOwn
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -27,7 +27,8 @@
 		}
 		l.log.Info(message, slog.String("call", string(a.Call)), slog.String("request", a.Request),
 			slog.String("endpoint", e.ID), slog.Int("answer_status", a.Status), slog.String("answer_attempt", a.AttemptID), slog.Bool("refusal", a.NotRun),
-			slog.Int("connection_answers", a.Arrival.Before), slog.Int("answers_discarded", a.Arrival.Discarded), slog.Int64("connection_ms", a.Arrival.ConnectionAge.Milliseconds()))
+			slog.Int("connection_answers", a.Arrival.Before), slog.Int("answers_discarded", a.Arrival.Discarded), slog.Int64("connection_ms", a.Arrival.ConnectionAge.Milliseconds()),
+			slog.Int64("answer_us", a.Arrival.SinceSent.Microseconds()))
 		l.scope.Tagged(map[string]string{"call": string(a.Call)}).Counter(counter).Inc(1)
 	case a.AttemptID == "":
 		connection := "new"
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -21,8 +21,8 @@
 	scope := tally.NewTestScope("", nil)
 	l := answerLog{slog.New(slog.NewTextHandler(&lines, nil)), scope}
 	e := &catalog.Endpoint{ID: "e1"}
-	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a2", Status: 503, AttemptID: "a1", NotRun: true, OtherCall: true, Arrival: port.Arrival{Before: 4, ConnectionAge: time.Second}})
-	is.True(strings.Contains(lines.String(), `msg="response to another call discarded" call=forward request=a2 endpoint=e1 answer_status=503 answer_attempt=a1 refusal=true connection_answers=4 answers_discarded=0 connection_ms=1000`))
+	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a2", Status: 503, AttemptID: "a1", NotRun: true, OtherCall: true, Arrival: port.Arrival{Before: 4, ConnectionAge: time.Second, SinceSent: time.Millisecond}})
+	is.True(strings.Contains(lines.String(), `msg="response to another call discarded" call=forward request=a2 endpoint=e1 answer_status=503 answer_attempt=a1 refusal=true connection_answers=4 answers_discarded=0 connection_ms=1000 answer_us=1000`))
 	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a3", Status: 503, NotRun: true})
 	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a4", Status: 503, NotRun: true, Arrival: port.Arrival{Before: 1}})
 	l.observe(e, port.EndpointAnswer{Call: port.CallProbe, Status: 200, Arrival: port.Arrival{Discarded: 1}})
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -69,7 +69,7 @@
 func answerAttrs(answer *port.EndpointResponse) []slog.Attr {
 	attrs := []slog.Attr{slog.Int("answer_status", answer.Status), slog.Bool("answer_named", answer.HasAttemptID)}
 	if a := answer.Arrival; a != nil {
-		attrs = append(attrs, slog.Int("connection_answers", a.Before), slog.Int("answers_discarded", a.Discarded), slog.Int64("connection_ms", a.ConnectionAge.Milliseconds()))
+		attrs = append(attrs, slog.Int("connection_answers", a.Before), slog.Int("answers_discarded", a.Discarded), slog.Int64("connection_ms", a.ConnectionAge.Milliseconds()), slog.Int64("answer_us", a.SinceSent.Microseconds()))
 	}
 	if answer.Carrier != "" {
 		attrs = append(attrs, slog.String("over_host", answer.Carrier))
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -14,6 +14,9 @@
 	Discarded int
 	// ConnectionAge is the time since the connection was opened.
 	ConnectionAge time.Duration
+	// SinceSent is the time since the request was written: a response that arrives sooner than one
+	// round trip was sent before the request.
+	SinceSent time.Duration
 }
 
 // First reports whether the response is the first one on its connection.
--- a/internal/relay/arrival_test.go
+++ b/internal/relay/arrival_test.go
@@ -15,7 +15,7 @@
 // TestCarriedResponseSaysHowItArrived guards against refusals of carried calls of which nobody can
 // tell which host's connection brought them.
 func TestCarriedResponseSaysHowItArrived(t *testing.T) {
-	for name, arrival := range map[string]*port.Arrival{"known": {Before: 3, Discarded: 1, ConnectionAge: time.Second}, "carrier of an earlier version": nil} {
+	for name, arrival := range map[string]*port.Arrival{"known": {Before: 3, Discarded: 1, ConnectionAge: time.Second, SinceSent: time.Millisecond}, "carrier of an earlier version": nil} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(2, func(_ context.Context, read func(*port.EndpointResponse) error) error {
