Believe a refusal without an id only after a barrier

Callers saw requests that may run once run at two endpoints, or refused with a promise although they ran. Cause: the first response on a new connection was believed without the attempt's id. An endpoint may send it before it has the request, or while it runs it.

Now a second request on the same connection, which every endpoint refuses with 421, shows whether the first one is answered (decision 0027). Requests that may be repeated are closed instead and go on elsewhere: an endpoint at work may not notice the end of a connection behind a further request. A carrier says whether a refusal was settled; those of earlier versions need the id.

The test of carriers of earlier versions plays what these send.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,9 @@
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
 	arrivalLimit, arrivalTime time.Duration
+	// resetOnClose is set while a barrier request is pending: a server that is at work may not
+	// notice the end of a connection behind a further request, but a reset.
+	resetOnClose atomic.Bool
 	// sentAt is when the current call's request had been written.
 	sentAt time.Time
 	// openedAt is when the connection was opened, and responses is the number of responses
@@ -48,6 +52,14 @@
 	return n, err
 }
 
+// Close closes the connection. It may be called more than once, and at any time.
+func (c *conn) Close() error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.resetOnClose.Load() {
+		_ = lingering.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // limitArrival bounds the time for which bytes arrive from now on; 0 ends that.
 func (c *conn) limitArrival(limit time.Duration) { c.arrivalLimit, c.arrivalTime = limit, 0 }
 
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -53,7 +53,8 @@
 // ErrUnexpectedResponse means that the connection carried only responses to other calls.
 var ErrUnexpectedResponse = errors.New("connection carried only responses to other calls")
 
-// ErrAmbiguousResponse means that Call.Matches returned MatchUnknown.
+// ErrAmbiguousResponse means that Call.Matches returned MatchUnknown, and that Call.Barrier did not
+// settle whether the response is the call's own.
 var ErrAmbiguousResponse = errors.New("response names no call and may belong to another one")
 
 // ErrOtherCall is returned by Call.Read for a response that it found to belong to an earlier
@@ -138,13 +139,14 @@
 	// Write writes the request to w, which is flushed afterwards.
 	Write func(w *bufio.Writer) error
 	// Matches tells from the header whether a response belongs to this call. first means that it
-	// is the first one on its connection, which can belong to no earlier call. Nil stands for a
-	// function that always returns MatchOwn.
+	// is the first one on its connection, which can belong to no earlier call; the server may have
+	// sent it before it got the request. Nil stands for a function that always returns MatchOwn.
 	Matches func(resp *fasthttp.Response, first bool) Match
-	// Named reports, after Read, whether the response names its call. One that doesn't may belong
-	// to an earlier call, unless it is the first one on its connection. The connection is then
-	// closed, as the call's own response may still be due. Nil stands for a function that always
-	// returns true.
+	// Barrier, unless nil, settles responses for which Matches returns MatchUnknown.
+	Barrier *Barrier
+	// Named reports, after Read, whether the response names its call. If it doesn't, the
+	// connection is closed, as the call's own response may still be due. Nil stands for a
+	// function that always returns true.
 	Named func(*fasthttp.Response) bool
 	// NoBody means that the response has no body, regardless of its header.
 	NoBody bool
@@ -155,7 +157,8 @@
 	// Arrival, unless nil, is set before Matches and Read are called.
 	Arrival *port.Arrival
 	// Discarded, unless nil, is called with the header of each response for which Matches returns
-	// MatchOther or MatchUnknown, or Read ErrOtherCall. Arrival is that of the response.
+	// MatchOther or MatchUnknown, or Read ErrOtherCall. Arrival is that of the response. One for
+	// which Matches returned MatchUnknown may still be passed to Read.
 	Discarded func(*fasthttp.Response, Match)
 }
 
@@ -168,9 +171,11 @@
 	// MatchOther means that the response belongs to another call. It is discarded: the call's own
 	// is still due.
 	MatchOther
-	// MatchUnknown means that the response may belong to the call or not. It ends the call with
-	// ErrAmbiguousResponse.
+	// MatchUnknown means that the response may belong to the call or not. Without a Barrier it ends
+	// the call with ErrAmbiguousResponse.
 	MatchUnknown
+	// MatchBarrier means that the response names the call's barrier request.
+	MatchBarrier
 )
 
 // MatchUnnamed returns a Call.Matches for a call whose response has no header field of this
@@ -214,7 +219,7 @@
 // roundTrip writes the request and reads the response. It reports whether the
 // connection can be reused, which is false after any error.
 func roundTrip(c *conn, call Call) (bool, error) {
-	writeErr := writeRequest(c, call)
+	writeErr := writeRequest(c, call.Write)
 	if writeErr != nil && (c.bytesSent == 0 || !isReset(writeErr)) {
 		return false, writeErr
 	}
@@ -225,9 +230,9 @@
 	return reusable && writeErr == nil, err
 }
 
-func writeRequest(c *conn, call Call) error {
+func writeRequest(c *conn, write func(w *bufio.Writer) error) error {
 	w := bufio.NewWriter(c)
-	if err := call.Write(w); err != nil {
+	if err := write(w); err != nil {
 		return err
 	}
 	return w.Flush()
@@ -242,45 +247,70 @@
 func readResponses(c *conn, call Call) (bool, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
+	b := barrierState{conn: c, call: &call}
 	before := c.responses
-	for discarded := range maxResponsesPerCall {
-		resp.Reset()
-		if err := c.readHeader(resp); err != nil {
-			return false, err
-		}
-		c.responses++
-		if call.Arrival != nil {
-			*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt), SinceSent: time.Since(c.sentAt)}
-		}
-		c.attachBody(resp, call.NoBody)
-		match := MatchOwn
-		if call.Matches != nil {
-			match = call.Matches(resp, c.responses == 1)
+	for discarded := 0; discarded < maxResponsesPerCall+b.asked; discarded++ {
+		match, err := readNext(c, call, resp, before, discarded)
+		if err != nil {
+			switch {
+			case b.held == nil:
+				return false, err
+			case b.isOwnAfterEnd():
+				return false, b.deliver()
+			default:
+				return false, errors.Join(ErrAmbiguousResponse, err)
+			}
 		}
 		if match == MatchOwn {
 			reusable, err := readResponse(c, resp, call)
 			if !errors.Is(err, ErrOtherCall) {
-				return reusable, err
+				return reusable && b.awaitAnswer(resp) && c.reader.Buffered() == 0, err
 			}
 			match = MatchOther
 		}
-		if call.Discarded != nil {
+		if call.Discarded != nil && match != MatchBarrier {
 			call.Discarded(resp, match)
 		}
-		if match == MatchUnknown {
+		if match == MatchUnknown && !b.hold(resp) {
 			return false, ErrAmbiguousResponse
 		}
-		// The call's own response follows, so that a silence is no reason to give up.
-		c.limitArrival(discardTimeout)
-		usable := discardRest(resp)
-		c.limitArrival(0)
-		if !usable {
+		usable := discardUnread(c, resp)
+		if b.settles(resp, match) {
+			return usable && b.isReusable() && c.reader.Buffered() == 0, b.deliver()
+		}
+		if !usable && !(b.last && b.isNewest()) {
 			return false, ErrUnexpectedResponse
 		}
+		b.ask()
 	}
 	return false, ErrUnexpectedResponse
 }
 
+// readNext reads the header of the next response and matches it.
+func readNext(c *conn, call Call, resp *fasthttp.Response, before, discarded int) (Match, error) {
+	resp.Reset()
+	if err := c.readHeader(resp); err != nil {
+		return 0, err
+	}
+	c.responses++
+	if call.Arrival != nil {
+		*call.Arrival = port.Arrival{Before: before, Discarded: discarded, ConnectionAge: time.Since(c.openedAt), SinceSent: time.Since(c.sentAt)}
+	}
+	c.attachBody(resp, call.NoBody)
+	if call.Matches == nil {
+		return MatchOwn, nil
+	}
+	return call.Matches(resp, c.responses == 1), nil
+}
+
+// discardUnread is discardRest within discardTimeout. The call's own response follows, so that a
+// silence is no reason to give up.
+func discardUnread(c *conn, resp *fasthttp.Response) bool {
+	c.limitArrival(discardTimeout)
+	defer c.limitArrival(0)
+	return discardRest(resp)
+}
+
 // discardRest reads the rest of a response's body, up to maxDiscardedBytes. It reports
 // whether the connection can still be used.
 func discardRest(resp *fasthttp.Response) bool {
@@ -296,7 +326,7 @@
 }
 
 // readResponse passes the response to call.Read and reports whether the connection
-// can be reused.
+// can be reused if nothing else has arrived.
 func readResponse(c *conn, resp *fasthttp.Response, call Call) (bool, error) {
 	if err := call.Read(resp); err != nil {
 		return false, err
@@ -306,8 +336,8 @@
 		return false, nil
 	}
 	c.serverIdleTimeout = parseKeepAliveTimeout(string(resp.Header.Peek("Keep-Alive")))
-	mayBeDue := call.Named != nil && c.responses > 1 && !call.Named(resp)
-	return c.reader.Buffered() == 0 && !mayBeDue, nil
+	mayBeDue := call.Named != nil && !call.Named(resp)
+	return !mayBeDue, nil
 }
 
 // keepAliveMargin is subtracted from the idle timeout that a server announces, because a
--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -23,7 +23,7 @@
 	case a.OtherCall, a.Ambiguous:
 		message, counter := "response to another call discarded", "endpoint_responses_discarded_total"
 		if a.Ambiguous {
-			message, counter = "response that may belong to another call ended its connection", "endpoint_responses_ambiguous_total"
+			message, counter = "response may belong to no call", "endpoint_responses_ambiguous_total"
 		}
 		l.log.Info(message, slog.String("call", string(a.Call)), slog.String("request", a.Request),
 			slog.String("endpoint", e.ID), slog.Int("answer_status", a.Status), slog.String("answer_attempt", a.AttemptID), slog.Bool("refusal", a.NotRun),
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -29,7 +29,7 @@
 	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a5", Status: 200, AttemptID: "a5"})
 	is.Equal(strings.Count(lines.String(), "\n"), 1)
 	l.observe(e, port.EndpointAnswer{Call: port.CallForward, Request: "a6", Status: 503, NotRun: true, Ambiguous: true, Arrival: port.Arrival{Before: 2}})
-	is.True(strings.Contains(lines.String(), `msg="response that may belong to another call ended its connection" call=forward request=a6 endpoint=e1 answer_status=503 answer_attempt="" refusal=true connection_answers=2`))
+	is.True(strings.Contains(lines.String(), `msg="response may belong to no call" call=forward request=a6 endpoint=e1 answer_status=503 answer_attempt="" refusal=true connection_answers=2`))
 	is.Equal(strings.Count(lines.String(), "\n"), 2)
 	counters := make(map[string]int64)
 	for name, c := range scope.Snapshot().Counters() {
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -50,8 +50,8 @@
 	NotRun bool
 	// OtherCall means that the response was found to belong to another call and discarded.
 	OtherCall bool
-	// Ambiguous means that the response may belong to the call or to another one. It ended the
-	// call, and its connection was closed.
+	// Ambiguous means that the response may belong to the call, to another one or to none. If it
+	// proves to be the call's own, it is reported again.
 	Ambiguous bool
 	Arrival   Arrival
 }
--- a/internal/relay/arrival_test.go
+++ b/internal/relay/arrival_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -35,22 +36,22 @@
 // TestRefusalOverACarrierOfAnEarlierVersionNeedsTheID guards against a request that runs although it was
 // refused: a carrier of an earlier version believes refusals that may belong to another request.
 func TestRefusalOverACarrierOfAnEarlierVersionNeedsTheID(t *testing.T) {
-	for _, tc := range []struct {
-		named   bool
-		arrival *port.Arrival
-		notRun  bool
-	}{{true, nil, true}, {false, nil, false}, {false, &port.Arrival{}, true}, {false, &port.Arrival{Before: 3}, false}, {false, &port.Arrival{Discarded: 1}, false}} {
-		t.Run(fmt.Sprint(tc), func(t *testing.T) {
-			is := is.New(t)
-			f := newFleet(2, func(_ context.Context, read func(*port.EndpointResponse) error) error {
-				return read(&port.EndpointResponse{Status: 503, NotRun: true, HasAttemptID: tc.named, Arrival: tc.arrival, Body: strings.NewReader("")})
-			})
-			is.NoErr(f.clients[0].ProbeOverPeers(t.Context(), f.endpoint))
-			r := &port.EndpointRequest{Exchange: &port.Exchange{ID: "a1", Method: "POST"}, Endpoint: f.endpoint, Remaining: 20 * time.Second}
-			is.NoErr(f.clients[0].Forward(t.Context(), r, func(response *port.EndpointResponse) error {
-				is.Equal(response.NotRun, tc.notRun)
-				return nil
-			}))
-		})
+	for _, named := range []bool{true, false} {
+		for _, arrival := range []*port.Arrival{nil, {}, {Before: 3}, {Discarded: 1}} {
+			for _, earlier := range []bool{true, false} {
+				t.Run(fmt.Sprint("named ", named, ", ", arrival, ", earlier version ", earlier), func(t *testing.T) {
+					is := is.New(t)
+					head := encodeHead(&port.EndpointResponse{Status: 503, NotRun: true, HasAttemptID: named, Arrival: arrival}, port.EndpointNotice{})
+					if earlier {
+						head.Proven = false // the field that such a host doesn't know
+					}
+					encoded, err := cbor.Marshal(head)
+					is.NoErr(err)
+					var decoded responseHead
+					is.NoErr(cbor.Unmarshal(encoded, &decoded))
+					is.Equal(decoded.decode("edge-1", nil).NotRun, named || !earlier)
+				})
+			}
+		}
 	}
 }
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -115,19 +115,21 @@
 	Notice port.EndpointNotice `cbor:"10,keyasint"`
 	// Arrival is how the response reached the carrier; nil from hosts of earlier versions.
 	Arrival *port.Arrival `cbor:"11,keyasint,omitempty"`
+	// Proven means that NotRun holds although the response names no attempt. Hosts of earlier
+	// versions don't set it.
+	Proven bool `cbor:"12,keyasint,omitempty"`
 }
 
 func encodeHead(r *port.EndpointResponse, notice port.EndpointNotice) *responseHead {
 	return &responseHead{Status: r.Status, Header: r.Header, Length: r.Length, NotRun: r.NotRun, Misdirected: r.Misdirected, Signed: r.Signed,
-		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice, Arrival: r.Arrival}
+		ContentEncoded: r.ContentEncoded, HasAttemptID: r.HasAttemptID, Load: r.Load, Notice: notice, Arrival: r.Arrival, Proven: r.NotRun}
 }
 
 // decode returns the response as this host would have got it from the endpoint. Carriers of
-// earlier versions also pass on refusals that name no attempt and came on a connection that had
-// carried other responses: these may belong to another attempt.
+// earlier versions also pass on refusals that name no attempt: these may belong to another one, or
+// to none.
 func (h *responseHead) decode(carrier string, body io.Reader) *port.EndpointResponse {
-	first := h.Arrival != nil && h.Arrival.First()
-	notRun := h.NotRun && (h.HasAttemptID || first)
+	notRun := h.NotRun && (h.HasAttemptID || h.Proven)
 	return &port.EndpointResponse{Status: h.Status, Header: h.Header, Length: h.Length, NotRun: notRun, Misdirected: h.Misdirected, Signed: h.Signed,
 		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
 }
