End the store's connection after a response that may answer no call

A faulty store that sends a refusal before it has got a call, as endpoints do, had each call on that connection get the response to the one before: a host took a key that another one held. The client kept a connection after a 429, 503 or 500, although the call's own response could still be due.

--- a/internal/adapter/store/client.go
+++ b/internal/adapter/store/client.go
@@ -10,6 +10,7 @@
 package store
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"net/url"
@@ -220,12 +221,16 @@
 		req.SetBodyRaw(body)
 	}
 	var got response
-	sent, err := c.pool.Do(ctx, c.address, req, false, func(resp *fasthttp.Response) error {
-		var err error
-		got.status = resp.StatusCode()
-		got.epoch, _ = strconv.ParseInt(string(resp.Header.Peek(headerEpoch)), 10, 64)
-		got.body, err = httpcall.ReadBody(resp, maxResponseBytes)
-		return err
+	sent, err := c.pool.Exchange(ctx, c.address, false, httpcall.Call{
+		Write: func(w *bufio.Writer) error { return req.Write(w) },
+		Named: func(*fasthttp.Response) bool { return !got.mayAnswerNoCall() },
+		Read: func(resp *fasthttp.Response) error {
+			var err error
+			got.status = resp.StatusCode()
+			got.epoch, _ = strconv.ParseInt(string(resp.Header.Peek(headerEpoch)), 10, 64)
+			got.body, err = httpcall.ReadBody(resp, maxResponseBytes)
+			return err
+		},
 	})
 	if err == nil {
 		return got, nil
@@ -236,6 +241,12 @@
 	return response{}, &callError{kind: port.ErrUnavailable, cause: err}
 }
 
+// mayAnswerNoCall reports whether the response is a refusal or a failure, which a faulty store may send
+// before it has got a call. The call's own response may then still be due.
+func (r response) mayAnswerNoCall() bool {
+	return r.status == fasthttp.StatusTooManyRequests || r.status >= fasthttp.StatusInternalServerError
+}
+
 // statusError returns the error for the status, or nil for success. An unexpected
 // status, of a read too, gives an error that wraps port.ErrUncertain.
 func (r response) statusError() error {
