Believe an engine's refusal of an order only after its state

An engine that sends a refusal before it gets an order executed the order while it counted as not accepted. A refusal of an order names none, and the first response on a connection was believed. Now the client reads the engine's state on the same connection: its response shows that the order is answered, and an acceptance that comes before it counts.

--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -98,23 +98,21 @@
 		return port.AttemptResult{}, verdict.Wrap(err, verdict.CodeBadInput, verdict.NotRun, "request cannot be sent to the endpoint")
 	}
 	result := port.AttemptResult{}
-	err = c.doRequest(ctx, addr, req, a.IdempotencyKey != "", nil, func(resp *fasthttp.Response) error {
+	err = c.doRequest(ctx, addr, req, a.IdempotencyKey != "", httpcall.Call{Read: func(resp *fasthttp.Response) error {
 		return c.readAttemptResponse(resp, a, &result)
-	})
+	}})
 	return result, err
 }
 
-// doRequest sends req and passes the response, its body unread, to read. It
+// doRequest sends req and passes the response, its body unread, to call.Read. It
 // returns every failure as a *verdict.Error. forceNew opens a new connection
-// instead of reusing an idle one. matches is httpcall.Call.Matches.
-func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, matches func(*fasthttp.Response, bool) httpcall.Match, read func(*fasthttp.Response) error) error {
+// instead of reusing an idle one. It sets Write and Arrival of the call.
+func (c *Client) doRequest(ctx context.Context, addr string, req *fasthttp.Request, forceNew bool, call httpcall.Call) error {
 	var arrival port.Arrival
-	sent, err := c.pool.Exchange(ctx, addr, forceNew, httpcall.Call{
-		Write:   func(w *bufio.Writer) error { return req.Write(w) },
-		Matches: matches,
-		Arrival: &arrival,
-		Read:    func(resp *fasthttp.Response) error { return describeArrival(read(resp), arrival) },
-	})
+	read := call.Read
+	call.Write, call.Arrival = func(w *bufio.Writer) error { return req.Write(w) }, &arrival
+	call.Read = func(resp *fasthttp.Response) error { return describeArrival(read(resp), arrival) }
+	sent, err := c.pool.Exchange(ctx, addr, forceNew, call)
 	if err != nil {
 		return toVerdictError(ctx, err, sent)
 	}
--- a/internal/adapter/engine/orders.go
+++ b/internal/adapter/engine/orders.go
@@ -1,12 +1,14 @@
 package engine
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/pimentorill/pimentorill/internal/adapter/httpcall"
 	"github.com/pimentorill/pimentorill/internal/core/release"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 	"github.com/pimentorill/pimentorill/internal/port"
@@ -26,7 +28,8 @@
 
 // Send implements port.OrderClient with POST /v1/orders. Each order opens a new
 // connection, so that a failure to connect proves that the engine did not receive
-// the order.
+// the order. A refusal names no order: it counts if the engine then reports its state on the same
+// connection, which shows that it has answered the order.
 func (c *Client) Send(ctx context.Context, e release.Endpoint, fencingToken uint64, o port.Order) error {
 	addr, err := endpointAddress(e)
 	if err != nil {
@@ -42,10 +45,37 @@
 	req.Header.SetContentType("application/json")
 	req.Header.Set(port.HeaderFence, strconv.FormatUint(fencingToken, 10))
 	req.SetBodyRaw(body)
-	return c.doRequest(ctx, addr, req, true, nil, func(resp *fasthttp.Response) error {
+	return c.doRequest(ctx, addr, req, true, httpcall.Call{Matches: matchOrder, Barrier: stateBarrier(addr), Read: func(resp *fasthttp.Response) error {
 		if resp.StatusCode() != fasthttp.StatusAccepted {
 			return statusError(resp)
 		}
 		return nil
-	})
+	}})
+}
+
+// matchOrder is httpcall.Call.Matches of an order.
+func matchOrder(resp *fasthttp.Response, _ bool) httpcall.Match {
+	switch resp.StatusCode() {
+	case fasthttp.StatusAccepted:
+		return httpcall.MatchOwn
+	case fasthttp.StatusOK:
+		return httpcall.MatchBarrier
+	default:
+		return httpcall.MatchUnknown
+	}
+}
+
+// stateBarrier returns the barrier of an order, which reads the engine's state.
+func stateBarrier(addr string) *httpcall.Barrier {
+	return &httpcall.Barrier{
+		Write: func(w *bufio.Writer) error {
+			req := fasthttp.AcquireRequest()
+			defer fasthttp.ReleaseRequest(req)
+			setMethodAndURI(req, fasthttp.MethodGet, addr, statePath)
+			return req.Write(w)
+		},
+		IsRefusal:     func(resp *fasthttp.Response) bool { return verdict.Of(statusError(resp)) == verdict.NotRun },
+		NamesRefusals: func() bool { return true },
+		OwnAfterEnd:   func() bool { return false },
+	}
 }
--- a/internal/adapter/engine/usage.go
+++ b/internal/adapter/engine/usage.go
@@ -41,9 +41,9 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	setMethodAndURI(req, fasthttp.MethodGet, addr, path)
-	return c.doRequest(ctx, addr, req, false, httpcall.MatchUnnamed(port.HeaderAttempt), func(resp *fasthttp.Response) error {
+	return c.doRequest(ctx, addr, req, false, httpcall.Call{Matches: httpcall.MatchUnnamed(port.HeaderAttempt), Read: func(resp *fasthttp.Response) error {
 		return c.readJSON(resp, out)
-	})
+	}})
 }
 
 // readJSON decodes a response with status 200 into out. It returns the error of
--- a/internal/adapter/httpcall/barrier.go
+++ b/internal/adapter/httpcall/barrier.go
@@ -95,7 +95,7 @@
 // known to be the call's own now.
 func (b *barrierState) settles(resp *fasthttp.Response, match Match) bool {
 	switch {
-	case b.held == nil || match == MatchOther || b.isNewest():
+	case b.held == nil || match == MatchOther || match == MatchBarrier && b.asked == 0 || b.isNewest():
 		return false
 	case match == MatchBarrier:
 		b.pending = false
