Bound what is read of a host before its handshake has ended

A host that dials an address which another server has taken over read the response to the upgrade without a bound: fields, one field or other bytes without end took 210, 711 and 1,263 MB in the 2 s of the handshake, from one connection, where a host has 284 MB or less (processes that end by themselves, LOST).

--- a/internal/adapter/peer/dial.go
+++ b/internal/adapter/peer/dial.go
@@ -238,6 +238,9 @@
 		_ = ws.Close()
 		return nil, err
 	}
+	if limited, ok := ws.NetConn().(*handshakeConn); ok {
+		limited.endHandshake()
+	}
 	c := t.startConn(ws, s)
 	c.received = &o.framesReceived
 	t.group.Go(c.readLoop)
@@ -269,7 +272,7 @@
 	return nil
 }
 
-// dialTCP connects and counts the bytes of the connection. It disables TCP keepalive
+// dialTCP connects, counts the bytes of the connection and bounds those of the handshake. It disables TCP keepalive
 // because the hosts probe each other.
 func (t *Transport) dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
@@ -277,7 +280,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{c, &t.stats}, nil
+	return newHandshakeConn(countingConn{c, &t.stats}), nil
 }
 
 // handleUpgrade upgrades an HTTP request of another host to a WebSocket.
