Bound the bodies of responses that a client reads at once

Each client has a budget now. The own store's responses are bounded by what was asked for: 1.4 MB for an entry, 24 MB for a list. TestServersThatSendWithoutEndCostLittleMemory, with all clients, and TestCallsWithoutEndCostLittleMemory failed before and hold their bound of 96 MB now, with the race detector too.

--- a/internal/adapter/endless_test.go
+++ b/internal/adapter/endless_test.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -10,13 +12,20 @@
 
 	"github.com/matryer/is"
 
+	"github.com/pimentorill/pimentorill/internal/adapter/engine"
+	"github.com/pimentorill/pimentorill/internal/adapter/hostlist"
 	"github.com/pimentorill/pimentorill/internal/adapter/peer"
+	"github.com/pimentorill/pimentorill/internal/adapter/store"
+	"github.com/pimentorill/pimentorill/internal/core/release"
 	"github.com/pimentorill/pimentorill/internal/port"
 	"github.com/pimentorill/pimentorill/internal/standin"
 )
 
 // endlessCalls returns calls of all clients to the server at an address.
 func endlessCalls(t *testing.T, address string) map[string]func(context.Context, int) {
+	own := store.New(store.Config{Address: address})
+	hosts := hostlist.New(address)
+	engines := engine.New(engine.Config{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -25,8 +34,26 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(peers.Close)
+	t.Cleanup(func() { own.Close(); hosts.Close(); engines.Close(); peers.Close() })
+	e := release.Endpoint{ID: "e", URL: "http://" + address}
+	attempt := func(kind release.ServiceKind) func(context.Context, int) {
+		return func(ctx context.Context, i int) {
+			input, _ := json.Marshal("prompt")
+			_, _ = engines.Call(ctx, port.Attempt{ID: fmt.Sprint("a-", i), Endpoint: e, Service: release.Service{Name: "s", Kind: kind}, Stage: release.Stage{Path: "/v1/call", MaxTokens: 20}, Input: input})
+		}
+	}
 	return map[string]func(context.Context, int){
+		"store, read":  func(ctx context.Context, i int) { _, _ = own.Get(ctx, fmt.Sprint("key-", i)) },
+		"store, list":  func(ctx context.Context, _ int) { _, _ = own.List(ctx, "key") },
+		"store, write": func(ctx context.Context, i int) { _, _ = own.CompareAndSwap(ctx, fmt.Sprint("key-", i), 0, nil, 0) },
+		"store, watch": func(ctx context.Context, i int) { _, _ = own.Watch(ctx, fmt.Sprint("key-", i), 0) },
+		"host list":    func(ctx context.Context, _ int) { _, _ = hosts.Hosts(ctx) },
+		"call":         attempt(release.KindPlain),
+		"completion":   attempt(release.KindEngine),
+		"state":        func(ctx context.Context, _ int) { _, _ = engines.State(ctx, e) },
+		"order": func(ctx context.Context, i int) {
+			_ = engines.Send(ctx, e, 1, port.Order{ID: fmt.Sprint("1/h/", i), Kind: port.OrderRole, Role: "decode"})
+		},
 		"request to a host": func(ctx context.Context, _ int) { _, _ = peers.Ask(ctx, address, "ping", nil) },
 	}
 }
--- a/internal/adapter/engine/client.go
+++ b/internal/adapter/engine/client.go
@@ -26,6 +26,8 @@
 const (
 	// DefaultMaxResponseBytes is the default size limit of one response body.
 	DefaultMaxResponseBytes = 8 << 20
+	// heldBodies is the number of response bodies of the maximum size that are in memory at once.
+	heldBodies = 2
 
 	// maxLineBytes limits one line of a completion stream. It is the size of the read
 	// buffer.
@@ -61,6 +63,7 @@
 	maxResponseBytes int64
 	clock            port.Clock
 	pool             *httpcall.Pool
+	bodies           *httpcall.Budget
 }
 
 // New returns a Client. The caller must Close it to release its idle connections.
@@ -71,7 +74,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = port.SystemClock{}
 	}
-	return &Client{maxResponseBytes: cfg.MaxResponseBytes, clock: cfg.Clock, pool: httpcall.New(cfg.Connections)}
+	return &Client{maxResponseBytes: cfg.MaxResponseBytes, clock: cfg.Clock, pool: httpcall.New(cfg.Connections), bodies: httpcall.NewBudget(heldBodies * cfg.MaxResponseBytes)}
 }
 
 // Close closes the idle connections. Calls in progress continue.
@@ -99,7 +102,7 @@
 	}
 	result := port.AttemptResult{}
 	err = c.doRequest(ctx, addr, req, a.IdempotencyKey != "", httpcall.Call{Read: func(resp *fasthttp.Response) error {
-		return c.readAttemptResponse(resp, a, &result)
+		return c.readAttemptResponse(ctx, resp, a, &result)
 	}})
 	return result, err
 }
@@ -163,7 +166,7 @@
 // readAttemptResponse reads resp into result. It returns an error if resp
 // belongs to another attempt. After the error of an interrupted stream, result holds
 // the part received so far.
-func (c *Client) readAttemptResponse(resp *fasthttp.Response, a port.Attempt, result *port.AttemptResult) error {
+func (c *Client) readAttemptResponse(ctx context.Context, resp *fasthttp.Response, a port.Attempt, result *port.AttemptResult) error {
 	if got := string(resp.Header.Peek(port.HeaderAttempt)); got != a.ID {
 		return errors.Errorf("response is for attempt %q, want %q", got, a.ID)
 	}
@@ -184,18 +187,14 @@
 		result.Output, err = json.Marshal(a.ResumeText + result.Text)
 		return err
 	}
-	return c.readCallResponse(resp, result)
+	return c.readCallResponse(ctx, resp, result)
 }
 
 // readCallResponse reads the response of a pool or plain service into result.
-func (c *Client) readCallResponse(resp *fasthttp.Response, result *port.AttemptResult) error {
-	raw, err := httpcall.ReadBody(resp, c.maxResponseBytes)
-	if err != nil {
-		return err
-	}
+func (c *Client) readCallResponse(ctx context.Context, resp *fasthttp.Response, result *port.AttemptResult) error {
 	var decoded callResponse
-	if err := json.Unmarshal(raw, &decoded); err != nil {
-		return errors.Wrap(err, "decode response")
+	if err := c.readInto(ctx, resp, &decoded); err != nil {
+		return err
 	}
 	if decoded.Output == nil {
 		return errors.New("response has no output")
--- a/internal/adapter/engine/usage.go
+++ b/internal/adapter/engine/usage.go
@@ -42,22 +42,25 @@
 	defer fasthttp.ReleaseRequest(req)
 	setMethodAndURI(req, fasthttp.MethodGet, addr, path)
 	return c.doRequest(ctx, addr, req, false, httpcall.Call{Matches: httpcall.MatchUnnamed(port.HeaderAttempt), Read: func(resp *fasthttp.Response) error {
-		return c.readJSON(resp, out)
+		return c.readJSON(ctx, resp, out)
 	}})
 }
 
 // readJSON decodes a response with status 200 into out. It returns the error of
 // statusError for any other status.
-func (c *Client) readJSON(resp *fasthttp.Response, out any) error {
+func (c *Client) readJSON(ctx context.Context, resp *fasthttp.Response, out any) error {
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return statusError(resp)
 	}
-	raw, err := httpcall.ReadBody(resp, c.maxResponseBytes)
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(raw, out); err != nil {
-		return errors.Wrap(err, "decode response")
-	}
-	return nil
+	return c.readInto(ctx, resp, out)
+}
+
+// readInto decodes the body of a response into out.
+func (c *Client) readInto(ctx context.Context, resp *fasthttp.Response, out any) error {
+	return c.bodies.ReadBody(ctx, resp, c.maxResponseBytes, func(raw []byte) error {
+		if err := json.Unmarshal(raw, out); err != nil {
+			return errors.Wrap(err, "decode response")
+		}
+		return nil
+	})
 }
--- a/internal/adapter/hostlist/hostlist.go
+++ b/internal/adapter/hostlist/hostlist.go
@@ -27,12 +27,13 @@
 type Client struct {
 	address string
 	pool    *httpcall.Pool
+	bodies  *httpcall.Budget
 }
 
 // New returns a Client for the host list at address, which is IP:PORT. The caller
 // must Close it to release its idle connections.
 func New(address string) *Client {
-	return &Client{address: address, pool: httpcall.New(httpcall.Config{MaxIdlePerAddress: 1})}
+	return &Client{address: address, pool: httpcall.New(httpcall.Config{MaxIdlePerAddress: 1}), bodies: httpcall.NewBudget(maxResponseBytes)}
 }
 
 // Close closes the idle connections. Calls in progress continue.
@@ -51,12 +52,10 @@
 		if resp.StatusCode() != fasthttp.StatusOK {
 			return errors.Errorf("status %d", resp.StatusCode())
 		}
-		raw, err := httpcall.ReadBody(resp, maxResponseBytes)
-		if err != nil {
+		return c.bodies.ReadBody(ctx, resp, maxResponseBytes, func(raw []byte) (err error) {
+			hosts, err = decodeHosts(raw)
 			return err
-		}
-		hosts, err = decodeHosts(raw)
-		return err
+		})
 	})
 	if err != nil {
 		return nil, errors.Wrap(port.ErrUnavailable, "host list: "+err.Error())
--- a/internal/adapter/store/client.go
+++ b/internal/adapter/store/client.go
@@ -32,9 +32,12 @@
 	longPollWait = 30 * time.Second
 	// longPollMargin is the time allowed beyond longPollWait for the response.
 	longPollMargin = 5 * time.Second
-	// maxResponseBytes limits one response. It allows for a list of many values of the
-	// maximum size.
-	maxResponseBytes = 64 << 20
+	// maxListBytes limits the response to a list, and all responses that are read at once. It
+	// allows for a list of many values of the maximum size.
+	maxListBytes = 24 << 20
+	// maxEntryBytes limits any other response. It allows for a value of the maximum size in
+	// base64.
+	maxEntryBytes = port.MaxValueBytes*4/3 + 64<<10
 	// maxKeyBytes limits the length of a key before escaping.
 	maxKeyBytes = 512
 	// headerEpoch is the header with the store's epoch.
@@ -56,6 +59,7 @@
 	address string
 	timeout time.Duration
 	pool    *httpcall.Pool
+	bodies  *httpcall.Budget
 }
 
 // New returns a Client. The caller must Close it to release its idle connections.
@@ -63,7 +67,7 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = DefaultTimeout
 	}
-	return &Client{address: cfg.Address, timeout: cfg.Timeout, pool: httpcall.New(cfg.Connections)}
+	return &Client{address: cfg.Address, timeout: cfg.Timeout, pool: httpcall.New(cfg.Connections), bodies: httpcall.NewBudget(maxListBytes)}
 }
 
 // Close closes the idle connections. Calls in progress continue.
@@ -105,18 +109,25 @@
 
 // List implements port.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, error) {
-	got, err := c.do(ctx, fasthttp.MethodGet, "/v1/kv?prefix="+url.QueryEscape(prefix), nil)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var list []port.Entry
+	var decodeErr error
+	got, err := c.send(ctx, fasthttp.MethodGet, "/v1/kv?prefix="+url.QueryEscape(prefix), nil, maxListBytes, func(r *response, raw []byte) {
+		if r.statusError() == nil {
+			list, decodeErr = decodeList(raw)
+		}
+	})
 	if err != nil {
 		return nil, err
 	}
 	if err := got.statusError(); err != nil {
 		return nil, err
 	}
-	list, err := decodeList(got.body)
 	for i := range list {
 		list[i].Epoch = got.epoch
 	}
-	return list, err
+	return list, decodeErr
 }
 
 // CompareAndSwap implements port.Store.
@@ -194,7 +205,7 @@
 func (c *Client) longPoll(ctx context.Context, target string) (response, error) {
 	pollCtx, cancel := context.WithTimeout(ctx, longPollWait+longPollMargin)
 	defer cancel()
-	got, err := c.send(pollCtx, fasthttp.MethodGet, target, nil)
+	got, err := c.send(pollCtx, fasthttp.MethodGet, target, nil, maxEntryBytes, keepBody)
 	if ctx.Err() != nil {
 		return response{}, ctx.Err()
 	}
@@ -205,13 +216,17 @@
 func (c *Client) do(ctx context.Context, method, target string, body []byte) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return c.send(ctx, method, target, body)
+	return c.send(ctx, method, target, body, maxEntryBytes, keepBody)
 }
 
-// send sends one call and returns the response whatever its status. If it fails after
+// keepBody is the use of a body that is decoded later.
+func keepBody(r *response, raw []byte) { r.body = raw }
+
+// send sends one call and returns the response whatever its status, after use has got its body, of at most
+// limit bytes. If it fails after
 // bytes of a write were sent, the error wraps port.ErrUncertain; otherwise it wraps
 // only port.ErrUnavailable.
-func (c *Client) send(ctx context.Context, method, target string, body []byte) (response, error) {
+func (c *Client) send(ctx context.Context, method, target string, body []byte, limit int64, use func(r *response, raw []byte)) (response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(method)
@@ -225,11 +240,9 @@
 		Write: func(w *bufio.Writer) error { return req.Write(w) },
 		Named: func(*fasthttp.Response) bool { return !got.mayAnswerNoCall() },
 		Read: func(resp *fasthttp.Response) error {
-			var err error
 			got.status = resp.StatusCode()
 			got.epoch, _ = strconv.ParseInt(string(resp.Header.Peek(headerEpoch)), 10, 64)
-			got.body, err = httpcall.ReadBody(resp, maxResponseBytes)
-			return err
+			return c.bodies.ReadBody(ctx, resp, limit, func(raw []byte) error { use(&got, raw); return nil })
 		},
 	})
 	if err == nil {
