Connect to an endpoint that rests before its response counts as whole

A stream without length or chunks looked complete although its endpoint had been killed between two events (ORDER), if the endpoint had asked for rest: it must get no request then, so nothing showed whether it went on. Now the host opens a connection to it and closes it without a request, on its own path; over other hosts such a stream still passes for whole.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -95,6 +95,17 @@
 	return newConn(nc), nil
 }
 
+// Connect opens a connection to addr and closes it. DialTimeout of the Config bounds it.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc, openedAt: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
--- a/internal/exchange/pathloss_soak_test.go
+++ b/internal/exchange/pathloss_soak_test.go
@@ -398,6 +398,11 @@
 }
 
 // Probe implements port.EndpointClient.
+func (h *pathHost) Connect(ctx context.Context, e *catalog.Endpoint) error {
+	_, err := h.Probe(ctx, e, true)
+	return err
+}
+
 func (h *pathHost) Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (port.EndpointReport, error) {
 	if err := h.connect(ctx, fresh); err != nil {
 		return port.EndpointReport{}, err
--- a/internal/exchange/scripted_test.go
+++ b/internal/exchange/scripted_test.go
@@ -40,6 +40,11 @@
 }
 
 // Probe implements port.EndpointClient.
+func (h *scriptedHost) Connect(ctx context.Context, e *catalog.Endpoint) error {
+	_, err := h.Probe(ctx, e, true)
+	return err
+}
+
 func (h *scriptedHost) Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (port.EndpointReport, error) {
 	if e.Service == "prep" {
 		return port.EndpointReport{FreeBytes: -1}, nil
--- a/internal/exchange/soak_endpoints_test.go
+++ b/internal/exchange/soak_endpoints_test.go
@@ -102,6 +102,11 @@
 }
 
 // Probe implements port.EndpointClient.
+func (s *soak) Connect(ctx context.Context, e *catalog.Endpoint) error {
+	_, err := s.Probe(ctx, e, true)
+	return err
+}
+
 func (s *soak) Probe(ctx context.Context, e *catalog.Endpoint, _ bool) (port.EndpointReport, error) {
 	return port.EndpointReport{FreeBytes: -1}, s.awaitEndpoint(ctx, e.ID, 2*time.Millisecond)
 }
--- a/internal/exchange/untilclose.go
+++ b/internal/exchange/untilclose.go
@@ -56,18 +56,22 @@
 
 // refusesProbes reports whether an endpoint's connections break and it takes no new ones, nor do
 // other hosts reach it if this one has lost its path, or another endpoint has its address. Silence
-// is no refusal, nor is one of the carriers, and an endpoint that rests is not asked.
+// is no refusal, nor is one of the carriers. An endpoint that rests is only connected to, and not over
+// other hosts.
 func (r *exchangeRun) refusesProbes(ctx context.Context, e *catalog.Endpoint) bool {
-	if r.cfg.Health.Rest(e) > 0 {
-		return false
-	}
 	// A probe that the deadline ends would lose a response that is whole.
 	ctx, stop := context.WithTimeoutCause(ctx, r.remainingTime()-deadlineMargin, errProbesEnded)
 	defer stop()
 	refused, silent := 0, 0
 	for refused < refusedProbes && silent < silentProbes {
 		probeCtx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-		report, err := r.cfg.Endpoints.Probe(probeCtx, e, false)
+		var report port.EndpointReport
+		var err error
+		if r.cfg.Health.Rest(e) > 0 { // no requests until the end of the rest
+			err = r.cfg.Endpoints.Connect(probeCtx, e)
+		} else {
+			report, err = r.cfg.Endpoints.Probe(probeCtx, e, false)
+		}
 		timedOut := probeCtx.Err() != nil
 		cancel()
 		switch {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -34,6 +34,11 @@
 		{ID: "k1", Zone: "kranj"}, {ID: "k2", Zone: "kranj"}, {ID: "c1", Zone: "celje"}}}
 }
 
+func (f *fakeEndpoints) Connect(ctx context.Context, e *catalog.Endpoint) error {
+	_, err := f.Probe(ctx, e, true)
+	return err
+}
+
 func (f *fakeEndpoints) Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (port.EndpointReport, error) {
 	f.mu.Lock()
 	f.probes++
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -236,6 +236,10 @@
 	// the response carries no report. The error wraps ErrOnlyStrayAnswer if the only
 	// response may belong to another call.
 	Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (EndpointReport, error)
+	// Connect opens a connection to the endpoint and closes it without a request, which it may
+	// do while the endpoint rests. The *verdict.Error has CodeNoCapacity if this host has no
+	// path to the endpoint.
+	Connect(ctx context.Context, e *catalog.Endpoint) error
 	// ObserveNotices has observe called with what each response of an endpoint says about
 	// it, unless that is nothing. Calls may be concurrent. It must be called before the
 	// client is used.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,6 +159,14 @@
 	return c.carriers.find(ctx, e, false, true) == nil
 }
 
+// Connect implements port.EndpointClient. It connects on the own path only.
+func (c *Client) Connect(ctx context.Context, e *catalog.Endpoint) error {
+	if c.cfg.Paths.PathTo(e) != health.PathDirect {
+		return verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no path to the endpoint")
+	}
+	return c.cfg.Direct.Connect(ctx, e)
+}
+
 // Probe implements port.EndpointClient. A probe on a new connection is always direct.
 func (c *Client) Probe(ctx context.Context, e *catalog.Endpoint, fresh bool) (port.EndpointReport, error) {
 	if fresh || c.cfg.Paths.PathTo(e) == health.PathDirect {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -146,6 +146,13 @@
 // ObserveAnswers implements port.EndpointClient.
 func (f *fakeClient) ObserveAnswers(func(*catalog.Endpoint, port.EndpointAnswer)) {}
 
+func (f *fakeClient) Connect(context.Context, *catalog.Endpoint) error {
+	if f.lost || f.crashed {
+		return unreached()
+	}
+	return nil
+}
+
 func (f *fakeClient) Probe(context.Context, *catalog.Endpoint, bool) (port.EndpointReport, error) {
 	if f.lost || f.crashed {
 		return port.EndpointReport{}, unreached()
--- a/internal/stagework/stagework_test.go
+++ b/internal/stagework/stagework_test.go
@@ -90,6 +90,8 @@
 	return nil
 }
 
+func (f *fakeEndpoints) Connect(context.Context, *catalog.Endpoint) error { return nil }
+
 func (f *fakeEndpoints) Probe(context.Context, *catalog.Endpoint, bool) (port.EndpointReport, error) {
 	return port.EndpointReport{FreeBytes: -1}, nil
 }
