Send a request on a new connection if its address has had it before

A request ran at two endpoints, or was refused although it ran: an endpoint that had started anew under another id refused the request that was meant for the former one (421, with the attempt's id), and sent that refusal again when its successor had been sent the same request. It names the attempt, so it was believed. A request that is sent to an endpoint again goes over a new connection, but the endpoint was known by its id, while connections are kept by address.

--- a/internal/exchange/forward.go
+++ b/internal/exchange/forward.go
@@ -155,9 +155,9 @@
 	r.record.rateLimit, r.record.rateLimited = r.cfg.RateLimits.Limit(e.Incarnation())
 	r.announceOrigin(e)
 	var load *port.EndpointLoad
-	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), SentBefore: r.sentTo[e.ID], Customer: r.customer, Remaining: r.remainingTime(),
+	request := &port.EndpointRequest{Exchange: r.exchange, Endpoint: e, MayRepeat: r.route.Repeatable(), SentBefore: r.sentTo[e.Address], Customer: r.customer, Remaining: r.remainingTime(),
 		Priority: min(leastUrgentPriority, r.priority), Inputs: r.currentResults().handles, ResumeFrom: r.stream.resumeFrom(r.exchange)}
-	r.sentTo[e.ID] = true
+	r.sentTo[e.Address] = true
 	startedAt := r.cfg.Clock.Now()
 	silence := time.AfterFunc(max(minVerifyDelay, r.route.TargetLatency), func() { r.cfg.Health.Verify(e) })
 	defer silence.Stop()
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -191,8 +191,8 @@
 	// for its successor runs concurrently with it.
 	attemptMu sync.Mutex
 	results   stageResults
-	// sentTo holds the ids of the endpoints to which the exchange was sent, and attempted those
-	// of them to which it isn't sent again for now.
+	// sentTo holds the addresses to which the exchange was sent, and attempted the ids of the
+	// endpoints to which it isn't sent again for now.
 	sentTo, attempted map[string]bool
 	attempts          int
 	// lastEndpoint is that of the newest attempt.
--- a/internal/port/exchange.go
+++ b/internal/port/exchange.go
@@ -85,8 +85,9 @@
 	Endpoint *catalog.Endpoint
 	// MayRepeat says that the exchange may run more than once.
 	MayRepeat bool
-	// SentBefore says that the endpoint has been sent the exchange before: it is sent on a new
-	// connection, since a late copy of the former response has the same attempt id.
+	// SentBefore says that the exchange has been sent to the endpoint's address before, also while
+	// another endpoint had it: it is sent on a new connection, since a late copy of the former
+	// response has the same attempt id.
 	SentBefore bool
 	// Customer is sent to the endpoint; empty for none.
 	Customer string
