--- a/internal/adapter/httpcall/barrier.go
+++ b/internal/adapter/httpcall/barrier.go
@@ -52,7 +52,8 @@
 	heldArrival port.Arrival
 	// heldAt is the number of responses that the connection had carried with the held one.
 	heldAt int
-	// last means that the held response says that the connection ends after it.
+	// last means that no response follows on the connection: the held one says so, or this side
+	// has closed it.
 	last bool
 	// unsettled is set by an unnamed response other than a refusal: it may be the call's own.
 	unsettled bool
@@ -150,8 +151,8 @@
 // isNewest reports whether no response has followed the held one.
 func (b *barrierState) isNewest() bool { return b.heldAt == b.conn.responses }
 
-// isReusable reports whether the connection can be used further after the held response was settled.
-func (b *barrierState) isReusable() bool {
+// leavesReusable reports whether the connection can be used further after the held response was settled.
+func (b *barrierState) leavesReusable() bool {
 	b.conn.resetOnClose.Store(b.pending)
 	return !b.pending && !b.last
 }
@@ -159,10 +160,11 @@
 // awaitAnswer reads the answer to a pending barrier request after the call's own response, so that
 // the connection can be used further. It reports whether it can.
 func (b *barrierState) awaitAnswer(resp *fasthttp.Response) bool {
+	c := b.conn
 	if !b.pending {
+		c.resetOnClose.Store(false)
 		return true
 	}
-	c := b.conn
 	if c.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
 		return false
 	}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -276,7 +276,7 @@
 		}
 		usable := discardUnread(c, resp)
 		if b.settles(resp, match) {
-			return usable && b.isReusable() && c.reader.Buffered() == 0, b.deliver()
+			return usable && b.leavesReusable() && c.reader.Buffered() == 0, b.deliver()
 		}
 		if !usable && !(b.last && b.isNewest()) {
 			return false, ErrUnexpectedResponse
