--- a/internal/adapter/store/client.go
+++ b/internal/adapter/store/client.go
@@ -222,10 +222,9 @@
 // keepBody is the use of a body that is decoded later.
 func keepBody(r *response, raw []byte) { r.body = raw }
 
-// send sends one call and returns the response whatever its status, after use has got its body, of at most
-// limit bytes. If it fails after
-// bytes of a write were sent, the error wraps port.ErrUncertain; otherwise it wraps
-// only port.ErrUnavailable.
+// send sends one call and returns the response whatever its status, after use has got
+// its body, of at most limit bytes. If it fails after bytes of a write were sent, the
+// error wraps port.ErrUncertain; otherwise it wraps only port.ErrUnavailable.
 func (c *Client) send(ctx context.Context, method, target string, body []byte, limit int64, use func(r *response, raw []byte)) (response, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
