--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; TROUBLE=0 leaves the disruption out. Build with the line of the deploy file and
 # review/build-2.sh before.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/standins-2 many-pieces review/8/record.txt
+exec target/review-2/standins-2 same-id review/8/record.txt
--- a/review/standins-2/cutcopy.go
+++ b/review/standins-2/cutcopy.go
@@ -129,7 +129,7 @@
 		return true
 	})
 	answers := map[string]int{}
-	sendWrites(h, func(id string, r response) {
+	sendWrites(h, cutCopyTime, func(id string, r response) {
 		answers[fmt.Sprint(r.status)]++
 		answers["of "+id] = r.status
 	}, func() string { return "/write/order" })
@@ -155,10 +155,10 @@
 
 // sendWrites has consumers send writes, each over kept channels. got and path are called with a
 // lock held.
-func sendWrites(h *host, got func(id string, r response), path func() string) {
+func sendWrites(h *host, duration time.Duration, got func(id string, r response), path func() string) {
 	var all sync.WaitGroup
 	var mu sync.Mutex
-	end := time.Now().Add(cutCopyTime)
+	end := time.Now().Add(duration)
 	for range consumers {
 		all.Go(func() {
 			var c *consumer
@@ -223,7 +223,7 @@
 	}
 	var outcomes []outcome
 	n := 0
-	sendWrites(h, func(id string, r response) { outcomes = append(outcomes, outcome{id, r}) }, func() string {
+	sendWrites(h, cutCopyTime, func(id string, r response) { outcomes = append(outcomes, outcome{id, r}) }, func() string {
 		if n++; n%3 == 0 {
 			return "/write/bad"
 		}
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -36,6 +36,20 @@
 	_, _ = io.WriteString(c.conn, b.String())
 }
 
+// unnamedRefusals has servers name no request in their refusals, which end with unnamedRefusal.
+var unnamedRefusals bool
+
+const unnamedRefusal = "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// misdirected refuses a request that is meant for another server.
+func (c *call) misdirected() {
+	if unnamedRefusals {
+		_, _ = io.WriteString(c.conn, "HTTP/1.1 421 Misdirected Request\r\n"+unnamedRefusal)
+		return
+	}
+	c.write(421, map[string]string{"X-Not-Executed": "1"}, "")
+}
+
 func signed(extra ...string) map[string]string {
 	h := map[string]string{"X-Server-Signature": "3e1b.07.5a2.600.0.c9f2a4d1"}
 	for i := 0; i+1 < len(extra); i += 2 {
@@ -110,7 +124,7 @@
 		expected := req.Header.Get("X-Expected-Instance")
 		switch {
 		case expected != "" && expected != s.id:
-			c.write(421, map[string]string{"X-Not-Executed": "1"}, "")
+			c.misdirected()
 		case req.URL.Path == "/report":
 			c.write(200, map[string]string{"Content-Type": "application/json"}, `{"queued":0,"busy":false,"free_mb":0.65,"active":0,"kv_used":0,"kv_total":300000,"handles":0,"sequence":1,"models":[{"name":"m","version":1,"adapter_ids":[]}]}`)
 		case req.URL.Path == "/healthz":
