Reject request fields that can't be read instead of ignoring them

Cause: the adapter took numbers of pieces above 1,000, and all that it could not read, for a field that is missing, so that the stages had nothing to do. Change: 400 before the body is read, which names the field and the value, also for numbers of pieces that don't fit the route.

--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -283,6 +284,9 @@
 	if customer != nil {
 		r.customer, r.customerRegions = customer.Name, customer.Regions
 	}
+	if given, stages := len(r.exchange.PieceCounts), len(r.route.Stages); given > 0 && stages > 0 && given != stages {
+		return r.refuseUnlessStale(verdict.New(verdict.CodeBadInput, verdict.NotRun, fmt.Sprintf("request has numbers of pieces for %d stages, its route has %d", given, stages)))
+	}
 	r.request = poison.NewRequest(r.customer, r.exchange)
 	r.service = c.Services[r.route.PickService(r.randomFloat())]
 	if r.service == nil {
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"strconv"
 	"time"
@@ -119,7 +120,7 @@
 	}
 	for i, s := range p.Stages {
 		if s.Pieces < 0 || s.Pieces > maxPieces || s.ResultBytes < 0 || s.ResultBytes > maxResultBytes {
-			return verdict.New(verdict.CodeBadInput, verdict.NotRun, "number or size of pieces is out of bounds")
+			return verdict.New(verdict.CodeBadInput, verdict.NotRun, fmt.Sprintf("stage %d has %d pieces of %d bytes, at most %d of %d are allowed", i, s.Pieces, s.ResultBytes, maxPieces, int64(maxResultBytes)))
 		}
 		for _, dependency := range s.DependsOn {
 			if dependency < 0 || dependency >= i {
