Doubt the origin of a stream by all registrations of its endpoint

Cause: an endpoint that starts again under its id as another version makes the origin of the streams in doubt that began there before hosts knew of it. Hosts looked for its new entry only among endpoints that get new work, so that one that drains, lies in an evacuated zone or is gone again contradicted nothing. The versions of a route, and the entries of versions in the store, had the same source. Evidence: the host logs the new entry before it resumes the stream elsewhere. A record whose origin a host doubts supersedes one without doubt.

--- a/internal/core/origin/history.go
+++ b/internal/core/origin/history.go
@@ -41,11 +41,13 @@
 // VersionOf returns the version of an endpoint.
 func VersionOf(e *catalog.Endpoint) Version { return Version{e.Service, e.SoftwareVersion} }
 
-// RegisteredVersions returns the versions at which streams that may be resumed can begin
-// now: those of the usable endpoints, by service, to which resumable routes lead.
-func RegisteredVersions(config *catalog.Config, usable map[string][]*catalog.Endpoint) map[Version]bool {
-	registered := make(map[Version]bool)
-	versions := versionsByService(usable)
+// RegisteredVersions returns the versions at which streams that may be resumed can have begun,
+// with the time at which each was registered last: those of the endpoints, of the services to
+// which resumable routes lead. Also endpoints that get no new work count: a host that does not
+// know of it yet, or knows a former process of the endpoint, may have sent them a stream.
+func RegisteredVersions(now time.Time, config *catalog.Config, registrations catalog.Registrations) map[Version]time.Time {
+	registered := make(map[Version]time.Time)
+	versions := versionsByService(now, registrations)
 	for _, r := range config.Routes {
 		if !r.ResumableStream() {
 			continue
@@ -69,17 +71,32 @@
 	return longest + lingerTime
 }
 
-func versionsByService(usable map[string][]*catalog.Endpoint) map[string]map[Version]bool {
-	versions := make(map[string]map[Version]bool, len(usable))
-	for service, endpoints := range usable {
-		versions[service] = make(map[Version]bool)
-		for _, e := range endpoints {
-			versions[service][VersionOf(e)] = true
+// versionsByService returns the versions of each service, with the time at which each was
+// registered last.
+func versionsByService(now time.Time, registrations catalog.Registrations) map[string]map[Version]time.Time {
+	versions := make(map[string]map[Version]time.Time)
+	for _, list := range registrations {
+		for _, r := range list {
+			seen := r.EndedAt
+			if seen.IsZero() {
+				seen = now
+			}
+			if versions[r.Service] == nil {
+				versions[r.Service] = make(map[Version]time.Time)
+			}
+			addLater(versions[r.Service], Version{r.Service, r.SoftwareVersion}, seen)
 		}
 	}
 	return versions
 }
 
+// addLater sets when a version was registered last, unless that is known to be later.
+func addLater(versions map[Version]time.Time, v Version, seen time.Time) {
+	if seen.After(versions[v]) {
+		versions[v] = seen
+	}
+}
+
 // Beginning is what is known of the streams that began before a history and may go on.
 type Beginning struct {
 	// None means that there are none: the whole system starts for the first time.
@@ -99,12 +116,12 @@
 func (v Version) Origin() Origin { return Origin{Service: v.Service, SoftwareVersion: v.Software} }
 
 // Observe adds what is registered now: the configuration's resumable routes and the
-// usable endpoints by service.
-func (h *History) Observe(now time.Time, config *catalog.Config, usable map[string][]*catalog.Endpoint) {
+// endpoints.
+func (h *History) Observe(now time.Time, config *catalog.Config, registrations catalog.Registrations) {
 	if config == nil {
 		return
 	}
-	versions := versionsByService(usable)
+	versions := versionsByService(now, registrations)
 	for _, r := range config.Routes {
 		if !r.ResumableStream() {
 			continue
@@ -115,8 +132,8 @@
 		}
 		h.timeouts[r.Name] = max(h.timeouts[r.Name], r.Timeout, DefaultTimeout)
 		for _, s := range r.TrafficSplit {
-			for v := range versions[s.Service] {
-				h.lastSeen[r.Name][v] = now
+			for v, seen := range versions[s.Service] {
+				addLater(h.lastSeen[r.Name], v, seen)
 			}
 		}
 	}
--- a/internal/core/origin/origin.go
+++ b/internal/core/origin/origin.go
@@ -7,6 +7,7 @@
 package origin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
@@ -52,12 +53,30 @@
 	}
 }
 
-// Contradicts reports whether a registration makes the origin doubtful: the same
-// endpoint, but another start or version, which may already have run when the stream
-// began. A host learns of a new start only after it.
-func (o Origin) Contradicts(e *catalog.Endpoint) bool {
-	if e.ID != o.Endpoint || e.StartedUnixMs == o.StartedUnixMs && e.SoftwareVersion == o.SoftwareVersion {
-		return false
+// IsDoubtful reports whether the registrations that a host knows make the origin doubtful: one
+// of the same endpoint, but of another process, which may already have run when the stream
+// began. A host learns of a new process only after its start, and the process may drain, or have
+// left, by then. What was registered before the origin's own process does not count.
+func (o Origin) IsDoubtful(known catalog.Registrations) bool {
+	registrations := known[o.Endpoint]
+	own := slices.IndexFunc(registrations, o.began)
+	for i, r := range registrations {
+		former := !r.EndedAt.IsZero() && (i < own || own < 0 && r.StartedUnixMs < o.StartedUnixMs)
+		if !former && o.contradicts(r) {
+			return true
+		}
 	}
-	return e.StartedUnixMs == o.StartedUnixMs || e.StartedUnixMs <= o.AtUnixMs+startSkew.Milliseconds()
+	return false
+}
+
+// began reports whether a registration of the origin's endpoint is that of the process at which
+// the stream began.
+func (o Origin) began(r catalog.Registration) bool {
+	return r.Service == o.Service && r.SoftwareVersion == o.SoftwareVersion && r.StartedUnixMs == o.StartedUnixMs
+}
+
+// contradicts reports whether a registration of the origin's endpoint is that of a process that
+// may have run when the stream began, and not of the one that the origin names.
+func (o Origin) contradicts(r catalog.Registration) bool {
+	return !o.began(r) && (r.StartedUnixMs == o.StartedUnixMs || r.StartedUnixMs <= o.AtUnixMs+startSkew.Milliseconds())
 }
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,15 +38,59 @@
 func TestOriginIsDoubtfulIfItsEndpointChanged(t *testing.T) {
 	is := is.New(t)
 	o := Of(&catalog.Endpoint{ID: "e1", Service: "pool", SoftwareVersion: "v1", StartedUnixMs: 5}, startTime)
-	registered := func(id, version string, started int64) *catalog.Endpoint {
-		return &catalog.Endpoint{ID: id, Service: "pool", SoftwareVersion: version, StartedUnixMs: started}
+	registered := func(version string, started int64) catalog.Registration {
+		return catalog.Registration{Service: "pool", SoftwareVersion: version, StartedUnixMs: started}
 	}
-	is.True(!o.Contradicts(registered("e1", "v1", 5)))
-	is.True(!o.Contradicts(registered("e2", "v2", 6)))
-	is.True(o.Contradicts(registered("e1", "v2", 5)))                           // its registration changed
-	is.True(o.Contradicts(registered("e1", "v2", startTime.UnixMilli()-100)))   // it had started anew
-	is.True(o.Contradicts(registered("e1", "v2", startTime.UnixMilli()+1000)))  // perhaps, as clocks differ
-	is.True(!o.Contradicts(registered("e1", "v2", startTime.UnixMilli()+9000))) // long after
+	isDoubtful := func(id string, list ...catalog.Registration) bool {
+		return o.IsDoubtful(catalog.Registrations{id: list})
+	}
+	own := registered("v1", 5)
+	is.True(!isDoubtful("e1"))
+	is.True(!isDoubtful("e1", own))
+	is.True(!isDoubtful("e2", registered("v2", 6)))
+	for _, before := range [][]catalog.Registration{nil, {own}, {ended(own)}} {
+		after := func(r catalog.Registration) []catalog.Registration { return append(slices.Clone(before), r) }
+		is.True(isDoubtful("e1", after(registered("v2", 5))...))                           // its registration changed
+		is.True(isDoubtful("e1", after(registered("v2", startTime.UnixMilli()-100))...))   // it had started anew
+		is.True(isDoubtful("e1", after(registered("v2", startTime.UnixMilli()+1000))...))  // perhaps, as clocks differ
+		is.True(!isDoubtful("e1", after(registered("v2", startTime.UnixMilli()+9000))...)) // long after
+
+		// The registration has ended as well.
+		is.True(isDoubtful("e1", after(ended(registered("v2", 5)))...))
+		is.True(isDoubtful("e1", after(ended(registered("v2", startTime.UnixMilli()-100)))...))
+		is.True(!isDoubtful("e1", after(ended(registered("v2", startTime.UnixMilli()+9000)))...))
+	}
+	is.True(isDoubtful("e1", catalog.Registration{Service: "other", SoftwareVersion: "v1", StartedUnixMs: 5}))
+
+	// What ran before the origin's own process does not count.
+	is.True(!isDoubtful("e1", ended(registered("v0", 4)), own))
+	is.True(!isDoubtful("e1", ended(registered("v0", 5)), own))
+	is.True(!isDoubtful("e1", ended(registered("v0", 4))))
+	is.True(isDoubtful("e1", ended(registered("v0", 4)), ended(own), registered("v2", 6)))
+}
+
+// ended returns a registration that has ended.
+func ended(r catalog.Registration) catalog.Registration {
+	r.EndedAt = startTime
+	return r
+}
+
+// TestRecordOfADoubtfulOriginStays guards against a record that names an origin although another
+// host knows that it is in doubt.
+func TestRecordOfADoubtfulOriginStays(t *testing.T) {
+	is := is.New(t)
+	o := Of(&catalog.Endpoint{ID: "e1", Service: "pool", SoftwareVersion: "v1", StartedUnixMs: 5}, startTime)
+	records := NewRecords()
+	put := func(o Origin, sequence int) Record {
+		records.Put(Record{Attempt: "a", Origin: o, Sequence: sequence}, startTime, startTime.Add(time.Minute))
+		r, _ := records.Get("a", startTime)
+		return r
+	}
+	is.True(put(o, 1).Origin.Known())
+	is.True(!put(Origin{}, 1).Origin.Known())
+	is.True(!put(o, 1).Origin.Known())
+	is.True(!put(o, 0).Origin.Known())
+	is.True(put(o, 2).Origin.Known()) // of a later attempt
 }
 
 func configOf(services ...string) *catalog.Config {
@@ -56,15 +101,15 @@
 	return &catalog.Config{Routes: []*catalog.Route{{Name: "r", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, TrafficSplit: split}}}
 }
 
-// usableEndpoints returns an endpoint of each version, by service.
-func usableEndpoints(versionsByService map[string][]string) map[string][]*catalog.Endpoint {
-	usable := make(map[string][]*catalog.Endpoint)
+// registeredEndpoints returns the registration of an endpoint of each version of the services.
+func registeredEndpoints(versionsByService map[string][]string) catalog.Registrations {
+	registrations := make(catalog.Registrations)
 	for service, versions := range versionsByService {
 		for i, v := range versions {
-			usable[service] = append(usable[service], &catalog.Endpoint{ID: fmt.Sprint(service, i), Service: service, SoftwareVersion: v})
+			registrations[fmt.Sprint(service, i)] = []catalog.Registration{{Service: service, SoftwareVersion: v}}
 		}
 	}
-	return usable
+	return registrations
 }
 
 // TestSoleVersionIsKnownOnlyAfterAllStreamsHaveEnded guards against hosts that say where a
@@ -73,9 +118,9 @@
 func TestSoleVersionIsKnownOnlyAfterAllStreamsHaveEnded(t *testing.T) {
 	is := is.New(t)
 	now := startTime
-	one, two := usableEndpoints(map[string][]string{"pool": {"v1", "v1"}}), usableEndpoints(map[string][]string{"pool": {"v1", "v2"}})
-	isSole := func(h *History, config *catalog.Config, usable map[string][]*catalog.Endpoint, version string) bool {
-		h.Observe(now, config, usable)
+	one, two := registeredEndpoints(map[string][]string{"pool": {"v1", "v1"}}), registeredEndpoints(map[string][]string{"pool": {"v1", "v2"}})
+	isSole := func(h *History, config *catalog.Config, registrations catalog.Registrations, version string) bool {
+		h.Observe(now, config, registrations)
 		o, ok := h.Sole("r", now)
 		return ok && o == Origin{Service: "pool", SoftwareVersion: version}
 	}
@@ -93,10 +138,10 @@
 	is.True(!h.Excludes("r", Origin{Service: "pool", SoftwareVersion: "v1"}))
 
 	// The route moves to another service, or leads to two, or versions are missing.
-	moved := usableEndpoints(map[string][]string{"pool": {"v1"}, "other": {"v1"}})
+	moved := registeredEndpoints(map[string][]string{"pool": {"v1"}, "other": {"v1"}})
 	is.True(!isSole(h, configOf("other"), moved, "v1"))
 	is.True(!isSole(NewHistory(now, Beginning{None: true}), configOf("pool", "other"), moved, "v1"))
-	is.True(!isSole(NewHistory(now, Beginning{None: true}), configOf("pool"), usableEndpoints(map[string][]string{"pool": {""}}), ""))
+	is.True(!isSole(NewHistory(now, Beginning{None: true}), configOf("pool"), registeredEndpoints(map[string][]string{"pool": {""}}), ""))
 }
 
 // TestHistoryBeginsWithTheVersionsOfBefore guards against a host that has just started and takes
@@ -104,7 +149,7 @@
 // another service; and against one that waits though it knows all of them.
 func TestHistoryBeginsWithTheVersionsOfBefore(t *testing.T) {
 	is := is.New(t)
-	usable := usableEndpoints(map[string][]string{"pool": {"v2"}})
+	registrations := registeredEndpoints(map[string][]string{"pool": {"v2"}})
 	v1, v2, other := Version{"pool", "v1"}, Version{"pool", "v2"}, Version{"other", "v1"}
 	for _, test := range []struct {
 		before        Beginning
@@ -117,7 +162,7 @@
 		{Beginning{Versions: []Version{v2, other}, Complete: true}, false, false},
 	} {
 		h := NewHistory(startTime, test.before)
-		h.Observe(startTime, configOf("pool"), usable)
+		h.Observe(startTime, configOf("pool"), registrations)
 		_, sole := h.Sole("r", startTime)
 		is.Equal(sole, test.sole)
 		is.Equal(h.Several("r"), test.several)
--- a/internal/core/origin/records.go
+++ b/internal/core/origin/records.go
@@ -30,17 +30,22 @@
 	expiresAt time.Time
 }
 
+// Supersedes reports whether a record replaces another one of its attempt: a higher one, or one by
+// which the origin is in doubt.
+func (r Record) Supersedes(o Record) bool {
+	return r.Sequence > o.Sequence || r.Sequence == o.Sequence && !r.Origin.Known()
+}
+
 // NewRecords returns an empty store of records.
 func NewRecords() *Records {
 	return &Records{byAttempt: make(map[string]*list.Element), byAge: list.New()}
 }
 
-// Put adds a record until expiresAt, unless one of its attempt with a higher sequence
-// is there. It drops expired records.
+// Put adds a record until expiresAt, unless one of its attempt is there that supersedes it. It
+// drops expired records.
 func (r *Records) Put(record Record, now, expiresAt time.Time) {
 	if e := r.byAttempt[record.Attempt]; e != nil {
-		stored := e.Value.(storedRecord)
-		if stored.Sequence > record.Sequence {
+		if e.Value.(storedRecord).Supersedes(record) {
 			return
 		}
 		r.remove(e)
--- a/internal/exchange/origin.go
+++ b/internal/exchange/origin.go
@@ -36,10 +36,10 @@
 	return nil
 }
 
-// isDoubtful reports whether the endpoint at which a stream began is now registered with
-// another start or version, at which the stream may have begun as well.
+// isDoubtful reports whether another process was registered for the endpoint at which a stream
+// began, at which the stream may have begun as well.
 func (r *exchangeRun) isDoubtful(o origin.Origin) bool {
-	return slices.ContainsFunc(r.cfg.Snapshot().Usable[o.Service], o.Contradicts)
+	return o.IsDoubtful(r.cfg.Snapshot().Registrations)
 }
 
 // mayContinue returns those of the endpoints at which the stream may go on, or begin before
--- a/internal/exchange/soak_test.go
+++ b/internal/exchange/soak_test.go
@@ -152,10 +152,15 @@
 // publish makes the configuration and the endpoints as they are the newest snapshot.
 func (s *soak) publish() {
 	s.mu.Lock()
-	snapshot := &facts.Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint), Incarnations: make(map[catalog.Incarnation]bool), ConfirmedAt: time.Now()}
+	snapshot := &facts.Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint), Registrations: make(catalog.Registrations), Incarnations: make(map[catalog.Incarnation]bool), ConfirmedAt: time.Now()}
 	for _, e := range s.endpoints {
 		entry := e.Endpoint
 		snapshot.Incarnations[entry.Incarnation()] = true
+		registration := catalog.RegistrationOf(&entry)
+		if e.gone {
+			registration.EndedAt = snapshot.ConfirmedAt
+		}
+		snapshot.Registrations[e.ID] = []catalog.Registration{registration}
 		if !e.Draining && !e.gone {
 			snapshot.Usable["pool"] = append(snapshot.Usable["pool"], &entry)
 		}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -90,6 +90,8 @@
 	// Usable holds the endpoints that may get new work, by service name: those that
 	// are not draining and not in an evacuated zone.
 	Usable map[string][]*catalog.Endpoint
+	// Registrations holds the registrations of all endpoints of late, usable or not.
+	Registrations catalog.Registrations
 	// Incarnations holds the incarnations of all known endpoints, usable or not.
 	Incarnations map[catalog.Incarnation]bool
 	// EvacuatedZones holds the zones that the operator has evacuated: their
--- a/internal/facts/state.go
+++ b/internal/facts/state.go
@@ -22,6 +22,8 @@
 	// endpoints and hosts hold the decoded entries by key.
 	endpoints map[string]*catalog.Endpoint
 	hosts     map[string]Host
+	// registrations holds those of the endpoints, by id.
+	registrations registrations
 	// items holds the undecoded items by key, for dumps.
 	items    map[string]port.KeyValue
 	position port.StorePosition
@@ -233,7 +235,7 @@
 
 // putEndpoint replaces an endpoint and notifies the observer. An endpoint whose
 // entry can't be decoded is removed. The message "endpoint" is logged when an
-// endpoint is new or its address, start time or draining state has changed.
+// endpoint is new or its address, start time, software version or draining state has changed.
 func (s *state) putEndpoint(cfg Config, item port.KeyValue, afterFirstRead bool) {
 	e, err := cfg.Decoder.DecodeEndpoint(item)
 	if err != nil {
@@ -241,19 +243,28 @@
 			cfg.Log.Warn("endpoint entry ignored: can't be decoded", slog.String("key", item.Key), slog.Any("error", err))
 		}
 		s.undecodable[item.Key] = true
-		delete(s.endpoints, item.Key)
+		s.deleteEndpoint(item.Key, cfg.Clock.Now())
 		return
 	}
 	delete(s.undecodable, item.Key)
 	old := s.endpoints[item.Key]
-	if old == nil || old.Draining != e.Draining || old.StartedUnixMs != e.StartedUnixMs || old.Address != e.Address {
+	if old == nil || old.Draining != e.Draining || old.StartedUnixMs != e.StartedUnixMs || old.SoftwareVersion != e.SoftwareVersion || old.Address != e.Address {
 		cfg.Log.Info("endpoint", slog.String("endpoint", e.ID), slog.String("service", e.Service), slog.String("address", e.Address),
 			slog.String("zone", e.Zone), slog.String("software_version", e.SoftwareVersion), slog.Bool("draining", e.Draining), slog.Int64("born", e.StartedUnixMs), slog.Int64("revision", e.Revision))
 	}
 	s.endpoints[item.Key] = e
+	s.registrations.put(e, cfg.Clock.Now())
 	cfg.Observer.EndpointUpdated(e, s.service(e), afterFirstRead)
 }
 
+// deleteEndpoint deletes an endpoint, if it is known.
+func (s *state) deleteEndpoint(key string, now time.Time) {
+	if e := s.endpoints[key]; e != nil {
+		s.registrations.end(e.ID, now)
+	}
+	delete(s.endpoints, key)
+}
+
 // service returns the service of an endpoint, nil if it is unknown.
 func (s *state) service(e *catalog.Endpoint) *catalog.Service {
 	if s.config == nil {
@@ -285,7 +296,7 @@
 		if e := s.endpoints[key]; e != nil {
 			cfg.Log.Info("endpoint gone", slog.String("endpoint", e.ID), slog.String("service", e.Service))
 		}
-		delete(s.endpoints, key)
+		s.deleteEndpoint(key, now)
 	case port.KeyOther:
 		delete(s.hosts, key)
 		if entries, name := s.entriesOf(cfg, key); entries != nil {
@@ -343,6 +354,7 @@
 			changed = true
 		}
 	}
+	s.registrations.forget(now)
 	for key, t := range s.tombstones {
 		if now.Sub(t.removedAt) > tombstoneRetention {
 			delete(s.tombstones, key)
@@ -354,7 +366,7 @@
 // snapshot returns a snapshot of the state.
 func (s *state) snapshot() *Snapshot {
 	out := &Snapshot{Config: s.config, Usable: make(map[string][]*catalog.Endpoint),
-		Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), CrashEntries: maps.Clone(s.crashEntries), VersionEntries: maps.Clone(s.versionEntries),
+		Registrations: s.registrations.snapshot(), Incarnations: make(map[catalog.Incarnation]bool, len(s.endpoints)), EvacuatedZones: maps.Clone(s.evacuatedZones), CrashEntries: maps.Clone(s.crashEntries), VersionEntries: maps.Clone(s.versionEntries),
 		RolloutOrders: s.itemsOf(s.rolloutOrders), RolloutStatuses: s.itemsOf(s.rolloutStatuses),
 		Hosts: make(map[string]Host, len(s.hosts)), ConfirmedAt: s.confirmedAt, Position: s.position}
 	for _, key := range slices.Sorted(maps.Keys(s.endpoints)) {
--- a/internal/origins/find.go
+++ b/internal/origins/find.go
@@ -200,7 +200,7 @@
 
 // answers is what other hosts know.
 type answers struct {
-	// record is the record with the highest sequence, nil if no host has one: a host that
+	// record is the one that supersedes the others, nil if no host has one: a host that
 	// missed a record may hold an older one of the attempt.
 	record *origin.Record
 	// soles and singles hold getResponse.Sole and Single of the hosts that know them.
@@ -248,7 +248,7 @@
 		if response.HasSingle {
 			out.singles = append(out.singles, response.Single)
 		}
-		if response.HasRecord && (out.record == nil || response.Record.Sequence > out.record.Sequence) {
+		if response.HasRecord && (out.record == nil || response.Record.Supersedes(*out.record)) {
 			out.record = &response.Record
 		}
 	}
@@ -278,10 +278,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response.Record, response.HasRecord = r.records.Get(request.Attempt, r.cfg.Clock.Now())
+	response.Record = r.checked(response.Record)
 	response.Several = r.history != nil && r.history.Several(request.Route)
 	return response
 }
 
+// checked returns a record without its origin if the registrations that this host knows make that
+// doubtful: whoever asks for the record may not know of them.
+func (r *Registry) checked(record origin.Record) origin.Record {
+	if record.Origin.IsDoubtful(r.cfg.Snapshot().Registrations) {
+		record.Origin = origin.Origin{}
+	}
+	return record
+}
+
 func (r *Registry) handleGet(ctx context.Context, _ port.Member, payload []byte) ([]byte, error) {
 	var request getRequest
 	if err := cbor.Unmarshal(payload, &request); err != nil {
--- a/internal/origins/fleet_test.go
+++ b/internal/origins/fleet_test.go
@@ -35,6 +35,8 @@
 	hosts map[string]*fakeHost
 	// versions holds the software version of each registered endpoint.
 	versions map[string]string
+	// draining holds those of them that get no new work.
+	draining map[string]bool
 	// storeDown means that no host reaches the store.
 	storeDown bool
 	asks      int
@@ -82,7 +84,7 @@
 }
 
 func newFleet(seed uint64, hosts int) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), hosts: make(map[string]*fakeHost), versions: make(map[string]string), entries: make(map[string]fakeEntry), leases: make(map[int64]time.Time), revision: 1}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 7)), hosts: make(map[string]*fakeHost), versions: make(map[string]string), draining: make(map[string]bool), entries: make(map[string]fakeEntry), leases: make(map[int64]time.Time), revision: 1}
 	for i := range hosts {
 		id := fmt.Sprint("edge-", i)
 		f.hosts[id] = &fakeHost{fleet: f, id: id}
@@ -175,7 +177,7 @@
 		h.mu.Unlock()
 		return
 	}
-	s := &facts.Snapshot{Config: fleetConfig, Usable: make(map[string][]*catalog.Endpoint), Hosts: make(map[string]facts.Host), ConfirmedAt: time.Now(),
+	s := &facts.Snapshot{Config: fleetConfig, Usable: make(map[string][]*catalog.Endpoint), Registrations: make(catalog.Registrations), Hosts: make(map[string]facts.Host), ConfirmedAt: time.Now(),
 		VersionEntries: make(map[string]string), Position: port.StorePosition{Epoch: h.epoch, Revision: h.revision}}
 	var records []port.KeyValue
 	for key, e := range h.entries {
@@ -187,7 +189,11 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.versions)) {
-		s.Usable["pool"] = append(s.Usable["pool"], &catalog.Endpoint{ID: id, Service: "pool", SoftwareVersion: h.versions[id], StartedUnixMs: 1})
+		e := &catalog.Endpoint{ID: id, Service: "pool", SoftwareVersion: h.versions[id], StartedUnixMs: 1}
+		s.Registrations[id] = []catalog.Registration{catalog.RegistrationOf(e)}
+		if !h.draining[id] {
+			s.Usable["pool"] = append(s.Usable["pool"], e)
+		}
 	}
 	for id := range h.hosts {
 		s.Hosts[id] = facts.Host{ID: id}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -180,7 +180,7 @@
 		stored := decodeVersions(s.VersionEntries, s.Position.Epoch)
 		r.history = origin.NewHistory(now, origin.Beginning{None: first, Versions: stored.versions, Complete: stored.complete})
 	}
-	r.history.Observe(now, s.Config, s.Usable)
+	r.history.Observe(now, s.Config, s.Registrations)
 	r.observed = s.Position
 	r.versions.observe(s, now, first)
 	for route, records := range r.unsent {
@@ -196,7 +196,7 @@
 // sendAll sends records to the hosts that hold them.
 func (r *Registry) sendAll(records []unsentRecord, now time.Time) {
 	for _, u := range records {
-		r.replicate(u.Record, u.expiresAt.Sub(now), 1)
+		r.replicate(r.checked(u.Record), u.expiresAt.Sub(now), 1)
 	}
 }
 
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -505,3 +505,55 @@
 		is.Equal(len(f.entries), 1)
 	})
 }
+
+// TestDoubtOfAnyHostHoldsForAll guards against a host that resumes a stream although the hosts that
+// it asks know that the endpoint was another process, of another version, when the stream began.
+func TestDoubtOfAnyHostHoldsForAll(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		t.Run(fmt.Sprint("draining ", draining), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(1, 8)
+				f.versions["e1"], f.versions["e2"], f.versions["e3"] = "v1", "v1", "v2"
+				f.start()
+				defer f.end()
+				is.True(f.hosts["edge-0"].begin("s1", "e1"))
+				is.True(f.hosts["edge-0"].begin("s2", "e2"))
+				f.change(func() {
+					f.hosts["edge-7"].lateFacts = true
+					f.versions["e1"], f.draining["e1"] = "v2", draining
+				})
+				f.followStore()
+				f.stop("edge-0")
+				for id, h := range f.hosts {
+					if id != "edge-0" {
+						is.Equal(h.find("s1"), "")
+						is.Equal(h.find("s2"), "v1")
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestVersionThatIsOnlySeenDrainingCounts guards against hosts that take a version for the only one
+// at which streams can have begun, though endpoints of another one are registered that get no new work.
+func TestVersionThatIsOnlySeenDrainingCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(1, 4)
+		f.versions["e1"] = "v1"
+		f.start()
+		defer f.end()
+		is.Equal(f.hosts["edge-0"].find("of another host"), "v1")
+		f.change(func() { f.versions["e2"], f.draining["e2"] = "v2", true })
+		f.followStore()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.hosts["edge-0"].find("of another host"), "")
+		f.change(func() { delete(f.versions, "e2") })
+		f.followStore()
+		is.Equal(f.hosts["edge-0"].find("of another host"), "")
+		f.hosts["edge-2"].start(false) // knows it from the store
+		is.Equal(f.hosts["edge-2"].find("of another host"), "")
+	})
+}
--- a/internal/origins/segments.go
+++ b/internal/origins/segments.go
@@ -89,6 +89,9 @@
 	if len(records) == 0 {
 		return 0
 	}
+	for i, record := range records {
+		records[i] = r.checked(record)
+	}
 	if r.passOn(ctx, records) {
 		w.failed, w.nextWriteAt = nil, now.Add(passInterval)
 		return passInterval
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -141,8 +141,10 @@
 		v.startedAt, v.begins = now, !first && !decodeVersions(s.VersionEntries, s.Position.Epoch).complete
 	}
 	v.snapshot = s
-	for version := range origin.RegisteredVersions(s.Config, s.Usable) {
-		v.lastSeen[version] = now
+	for version, seen := range origin.RegisteredVersions(now, s.Config, s.Registrations) {
+		if seen.After(v.lastSeen[version]) {
+			v.lastSeen[version] = seen
+		}
 	}
 	for version, seen := range v.lastSeen {
 		epoch, written := v.written[version]
