Take no response from a header that no sound server sends

Cause: the codec takes the status 000 for its zero value, which stands for 200, and tolerates blanks in names. Requests were checked for such lines, responses were not. Change: a header is checked as a whole before the codec reads it, where all clients read theirs. One that is malformed ends the attempt, which may have run.

--- a/internal/adapter/httpcall/body.go
+++ b/internal/adapter/httpcall/body.go
@@ -25,7 +25,8 @@
 )
 
 // readHeader reads the header of the final response into resp and skips interim
-// responses. headerTimeout bounds each of them.
+// responses. headerTimeout bounds each of them. The error wraps ErrMalformedHeader if one is
+// malformed.
 func (c *conn) readHeader(resp *fasthttp.Response) error {
 	for range maxHeadersPerResponse {
 		if _, err := c.reader.Peek(1); err != nil {
@@ -33,11 +34,17 @@
 		}
 		resp.Header.SetNoDefaultContentType(true)
 		c.limitArrival(headerTimeout)
-		err := resp.Header.Read(c.reader)
+		head, err := c.peekHeader()
 		c.limitArrival(0)
 		if err != nil {
 			return err
 		}
+		if err := validateHeader(head); err != nil {
+			return err
+		}
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
+		}
 		if status := resp.StatusCode(); status < 100 || status > 199 {
 			return nil
 		}
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -255,7 +255,7 @@
 			switch {
 			case b.held == nil:
 				return false, err
-			case b.isOwnAfterEnd():
+			case !errors.Is(err, ErrMalformedHeader) && b.isOwnAfterEnd():
 				return false, b.deliver()
 			default:
 				return false, errors.Join(ErrAmbiguousResponse, err)
