Mark a connection as reset whatever write finds that

Callers saw: nothing yet. The beginning of a response without a length passes for the whole one (MIXED) if a barrier request, and not the call's own request, is what finds the connection reset. Cause: a socket tells a reset once, and the next read finds a clean end. Only the write of the call's request marked the connection. Evidence: TestResetSeenByABarrierRequestIsNoEnd failed before. The case that users report, a reset while the upload is written, did not occur with the former code, at endpoints, over another host and at endpoints that leave. Change: each write of a connection sets the mark. Result: the package httpcall passes, and TestResponseResetWithinAnUploadIsNotComplete.

--- a/internal/adapter/httpcall/conn.go
+++ b/internal/adapter/httpcall/conn.go
@@ -19,7 +19,7 @@
 	// call; zero means no limit.
 	writeDeadline time.Time
 	// reset is set once a write found the connection reset: what can be read may be cut
-	// anywhere.
+	// anywhere, and its end looks like a proper one, as the write has taken the error.
 	reset bool
 	// arrivalLimit bounds the time for which bytes arrive, of which arrivalTime has been
 	// counted so far; 0 means no limit.
@@ -49,6 +49,7 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.bytesSent += n
+	c.reset = c.reset || isReset(err)
 	return n, err
 }
 
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -224,7 +224,6 @@
 		return false, writeErr
 	}
 	// A server that stops reading a long body may have responded first.
-	c.reset = writeErr != nil
 	c.sentAt = time.Now()
 	reusable, err := readResponses(c, call)
 	return reusable && writeErr == nil, err
