Read responses in the command-line tool as everywhere else

Users saw: nothing yet. A response with the status 000, or one whose connection ends between two chunks, passes for a whole 200. Cause: the tool had an HTTP client of its own, without the checks of the others. Change: the tool uses the connections of the other clients, over TLS as well.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -1,15 +1,21 @@
 package cli
 
 import (
+	"cmp"
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
+	"net/url"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/pimentorill/pimentorill/internal/adapter/httpcall"
 	"github.com/pimentorill/pimentorill/internal/core/release"
 	"github.com/pimentorill/pimentorill/internal/core/verdict"
 )
@@ -24,17 +30,36 @@
 // client sends HTTP requests to a host.
 type client struct {
 	config Config
-	http   *fasthttp.Client
+	plain  *httpcall.Pool
+	secure *httpcall.Pool
 }
 
 func newClient(c Config) *client {
-	return &client{config: c, http: &fasthttp.Client{
-		Name:                      "pimentorill",
-		StreamResponseBody:        true,
-		MaxResponseBodySize:       maxResponseBytes,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	return &client{config: c, plain: httpcall.New(httpcall.Config{}), secure: httpcall.New(httpcall.Config{Dial: new(tls.Dialer).DialContext})}
+}
+
+// close closes the idle connections.
+func (c *client) close() {
+	c.plain.Close()
+	c.secure.Close()
+}
+
+// poolFor returns the connections to the host that a URL names, and its address.
+func (c *client) poolFor(rawURL string) (pool *httpcall.Pool, address string, err error) {
+	u, err := url.Parse(rawURL)
+	if err != nil {
+		return nil, "", err
+	}
+	port := ""
+	switch u.Scheme {
+	case "http":
+		pool, port = c.plain, "80"
+	case "https":
+		pool, port = c.secure, "443"
+	default:
+		return nil, "", errors.Errorf("%q is no URL of HTTP or HTTPS", rawURL)
+	}
+	return pool, net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), port)), nil
 }
 
 // apiError is an error response of a host, or a request without a valid response. The
@@ -89,45 +114,48 @@
 // 200. It returns the error of read. Any other status and a failed connection give an
 // *apiError.
 func (c *client) send(r request, read func(body io.Reader) error) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	pool, address, err := c.poolFor(r.url)
+	if err != nil {
+		return connectionError(err, verdict.NotRun)
+	}
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(r.method)
+	req.Header.SetUserAgent("pimentorill")
 	req.SetRequestURI(r.url)
 	req.SetBody(r.body)
 	for k, v := range r.headers {
 		req.Header.Set(k, v)
 	}
-	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
-		return connectionError(err)
-	}
-	body := resp.BodyStream()
-	if body == nil {
-		body = strings.NewReader(string(resp.Body()))
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return decodeError(resp.StatusCode(), body)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	responded := false
+	sent, err := pool.Do(ctx, address, req, false, func(resp *fasthttp.Response) error {
+		responded = true
+		body := resp.BodyStream()
+		if body == nil {
+			body = strings.NewReader("")
+		}
+		if resp.StatusCode() != fasthttp.StatusOK {
+			return decodeError(resp.StatusCode(), body)
+		}
+		return read(body)
+	})
+	switch {
+	case err == nil || responded:
+		return err
+	case sent == 0:
+		return connectionError(err, verdict.NotRun)
+	default:
+		return connectionError(err, verdict.MayHaveRun)
 	}
-	return read(body)
 }
 
-// connectionError returns the *apiError of a request without a complete response.
-// The verdict is NotRun if dialling failed, else MayHaveRun.
-func connectionError(err error) error {
-	v := verdict.MayHaveRun
-	if dialFailed(err) {
-		v = verdict.NotRun
-	}
+// connectionError returns the *apiError of a request without a response.
+func connectionError(err error, v verdict.Verdict) error {
 	return &apiError{Code: "no_answer", Verdict: v, Message: err.Error()}
 }
 
-// dialFailed reports whether the connection could not be opened, so that nothing was
-// sent.
-func dialFailed(err error) bool {
-	var dial *fasthttp.ErrDialWithUpstream
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout)
-}
-
 // decodeError returns the *apiError of an error response. It has the code bad_answer and
 // the verdict MayHaveRun if the body is not a valid error body.
 func decodeError(status int, body io.Reader) error {
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -16,6 +16,7 @@
 
 	"github.com/pimentorill/pimentorill/internal/app"
 	"github.com/pimentorill/pimentorill/internal/core/pipeline"
+	"github.com/pimentorill/pimentorill/internal/core/verdict"
 )
 
 // maxEventLineBytes bounds one line of an event stream.
@@ -130,7 +131,7 @@
 			return err
 		}
 	}
-	return connectionError(errors.New("the stream ended without a result or error event"))
+	return connectionError(errors.New("the stream ended without a result or error event"), verdict.MayHaveRun)
 }
 
 // printEvent prints one event, or returns the *apiError of an error event. It ignores
@@ -148,7 +149,7 @@
 			Error apiError `json:"error"`
 		}
 		if err := json.Unmarshal(data, &response); err != nil {
-			return true, connectionError(err)
+			return true, connectionError(err, verdict.MayHaveRun)
 		}
 		return true, &response.Error
 	}
