Check headers of carried responses at the owner too

Callers saw: nothing yet. While hosts are replaced, one of an earlier version carries a call and passes on a status or a field that no sound endpoint sends. Cause: the owner took over what the carrier had read. Change: the owner checks status, names and values. The checks of names and values move to the package port, where the connections use them too.

--- a/internal/adapter/httpcall/head.go
+++ b/internal/adapter/httpcall/head.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 // ErrMalformedHeader means that the header of a response has a line that no server writes. What it
@@ -56,9 +58,9 @@
 	for _, line := range lines[1:] {
 		name, value, ok := bytes.Cut(line, []byte(":"))
 		switch {
-		case !ok || !isToken(name):
+		case !ok || !port.IsFieldName(name):
 			return errors.Wrapf(ErrMalformedHeader, "field name %q", name)
-		case !isText(value):
+		case !port.IsFieldValue(value):
 			return errors.Wrapf(ErrMalformedHeader, "value of the field %s: %q", name, value)
 		}
 	}
@@ -72,7 +74,7 @@
 	ok = ok && len(rest) >= len("1 ")+len(status) && isDigit(rest[0]) && rest[1] == ' '
 	if ok {
 		code, reason := rest[2:5], rest[5:]
-		ok = code[0] >= '1' && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2]) && (len(reason) == 0 || reason[0] == ' ') && isText(reason)
+		ok = code[0] >= '1' && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2]) && (len(reason) == 0 || reason[0] == ' ') && port.IsFieldValue(reason)
 	}
 	if !ok {
 		return errors.Wrapf(ErrMalformedHeader, "status line %q", line)
@@ -81,19 +83,3 @@
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
-
-// isToken reports whether a text can be the name of a field.
-func isToken(text []byte) bool {
-	for _, b := range text {
-		isLetter := b|0x20 >= 'a' && b|0x20 <= 'z'
-		if !isLetter && !isDigit(b) && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(b)) {
-			return false
-		}
-	}
-	return len(text) > 0
-}
-
-// isText reports whether a text has no control bytes besides tabs.
-func isText(text []byte) bool {
-	return !bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
-}
--- a/internal/adapter/httpcall/oddhead_test.go
+++ b/internal/adapter/httpcall/oddhead_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/pimentorill/pimentorill/internal/port"
 )
 
 // oddHeads are headers that no sound server sends, each before a line that ends it.
@@ -126,7 +128,7 @@
 			t.Fatalf("status %d", status)
 		}
 		for name, value := range resp.Header.All() {
-			if !isToken(name) || !isText(value) {
+			if !port.IsFieldName(name) || !port.IsFieldValue(value) {
 				t.Fatalf("field %q: %q", name, value)
 			}
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -374,6 +374,10 @@
 		c.learn(host, r.Endpoint, p.Notice, false)
 		return p.Failure.error(host)
 	}
+	if !p.Head.isValid() {
+		body.cancel()
+		return verdict.New(verdict.CodeEndpointFailed, verdict.MayHaveRun, "response over host "+host+" has a malformed header")
+	}
 	response := p.Head.decode(host, body)
 	c.learn(host, r.Endpoint, p.Head.Notice, response.NotRun || response.Signed && response.HasAttemptID)
 	body.take(p)
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -134,6 +135,14 @@
 		ContentEncoded: h.ContentEncoded, HasAttemptID: h.HasAttemptID, Load: h.Load, Arrival: h.Arrival, Carrier: carrier, Body: body}
 }
 
+// isValid reports whether a response can have this header. Carriers of earlier versions also pass on
+// what no sound endpoint sends.
+func (h *responseHead) isValid() bool {
+	return port.IsStatus(h.Status) && !slices.ContainsFunc(h.Header, func(f port.HeaderField) bool {
+		return !port.IsFieldName(f.Name) || !port.IsFieldValue(f.Value)
+	})
+}
+
 // stageRequest asks a carrier to make a stage call, or to free results.
 type stageRequest struct {
 	Endpoint endpointRef  `cbor:"1,keyasint"`
