Take no response from a header that runs into the next

Cause: the beginning of a late copy ends within its header, and the next response follows. Both were read as one header: the status and the first fields of the copy, the id of the attempt and the rest of the response. Evidence: the host's line of the failed attempt has the copy's status and the running attempt's id.

--- a/internal/adapter/httpcall/oddhead_test.go
+++ b/internal/adapter/httpcall/oddhead_test.go
@@ -71,6 +71,46 @@
 	}
 }
 
+// TestBeginningOfAHeadDoesNotRunIntoTheNext guards against responses with the status or the fields of
+// an earlier one: a server sends the beginning of it once more before the next one.
+func TestBeginningOfAHeadDoesNotRunIntoTheNext(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok"
+	for name, stray := range map[string]string{
+		"refusal":  "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Type: text/plain\r\nX-Id: old\r\nContent-Length: 4\r\n\r\nfull",
+		"response": "HTTP/1.1 500 Internal Server Error\r\nX-Signature: s\r\nX-Id: old\r\nContent-Length: 4\r\n\r\nfail",
+		"HTTP/1.0": "HTTP/1.0 500 Internal Server Error\r\nX-Signature: s\r\nX-Id: old\r\nContent-Length: 4\r\n\r\nfail",
+		"chunks":   "HTTP/1.1 500 Internal Server Error\r\nX-Id: old\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfail\r\n0\r\n\r\n",
+		"interim":  "HTTP/1.1 103 Early Hints\r\nX-Refused: 1\r\nLink: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for end := range len(stray) + 1 {
+				is := is.New(t)
+				p := connTo(t, func(server net.Conn) { _ = writeParts(server, 0, stray[:end], own) })
+				_, err := p.Exchange(context.Background(), "server", false, Call{
+					Write: func(w *bufio.Writer) error { _, err := w.WriteString("GET / HTTP/1.1\r\n\r\n"); return err },
+					Matches: func(resp *fasthttp.Response, _ bool) Match {
+						if string(resp.Header.Peek("X-Id")) == "own" {
+							return MatchOwn
+						}
+						return MatchOther
+					},
+					Read: func(resp *fasthttp.Response) error {
+						is.Equal(resp.StatusCode(), 200)
+						is.Equal(len(resp.Header.Peek("X-Refused")), 0)
+						is.Equal(len(resp.Header.Peek("X-Signature")), 0)
+						body, err := ReadBody(resp, 100)
+						is.Equal(string(body), "ok")
+						return err
+					},
+				})
+				if end == 0 || end == len(stray) && name != "HTTP/1.0" { // which closes its connection
+					is.NoErr(err)
+				}
+			}
+		})
+	}
+}
+
 // TestUnusualHeadIsAResponse checks headers that sound servers may send.
 func TestUnusualHeadIsAResponse(t *testing.T) {
 	for name, head := range map[string]string{
@@ -83,6 +123,7 @@
 		"value with blanks":     "HTTP/1.1 200 OK\r\nX-A:\t a b: c \t\r\nContent-Length: 2\r\n",
 		"value above 127":       "HTTP/1.1 200 OK\r\nX-A: \xe4\xc3\xa4\r\nContent-Length: 2\r\n",
 		"empty lines before it": "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+		"protocol in a value":   "HTTP/1.1 200 OK\r\nUpgrade: HTTP/2.0\r\nVia: HTTP/1.1 proxy, 1.1 200\r\nContent-Length: 2\r\n",
 		"HTTP/1.0":              "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n",
 		"interim responses":     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
 	} {
