--- a/internal/adapter/engine/orders.go
+++ b/internal/adapter/engine/orders.go
@@ -67,6 +67,7 @@
 
 // stateBarrier returns the barrier of an order, which reads the engine's state.
 func stateBarrier(addr string) *httpcall.Barrier {
+	isRefusal := func(resp *fasthttp.Response) bool { return verdict.Of(statusError(resp)) == verdict.NotRun }
 	return &httpcall.Barrier{
 		Write: func(w *bufio.Writer) error {
 			req := fasthttp.AcquireRequest()
@@ -74,7 +75,8 @@
 			setMethodAndURI(req, fasthttp.MethodGet, addr, statePath)
 			return req.Write(w)
 		},
-		IsRefusal:     func(resp *fasthttp.Response) bool { return verdict.Of(statusError(resp)) == verdict.NotRun },
+		IsRefusal:     isRefusal,
+		IsAnswer:      isRefusal,
 		NamesRefusals: func() bool { return true },
 		OwnAfterEnd:   func() bool { return false },
 	}
--- a/internal/adapter/httpcall/barrier.go
+++ b/internal/adapter/httpcall/barrier.go
@@ -24,11 +24,12 @@
 //
 //	held ──barrier──▶ response that names the call         own: the held one answered nothing
 //	                ▶ response that names the barrier      the call is answered: held is its own
-//	                ▶ refusal that names neither           counts as the barrier's answer; asked again
+//	                ▶ refusal that names neither           as IsAnswer says: counts as the barrier's answer, and
+//	                                                       it is asked again; or is one more that answers nothing
 //	                ▶ another unnamed response             the held one stays unsettled
 //	                ▶ end of the connection                see OwnAfterEnd
 //
-// After maxBarriers refusals that name neither, the held response is the call's own if the server
+// After maxBarriers answers that name neither, the held response is the call's own if the server
 // doesn't name its refusals.
 type Barrier struct {
 	// Write writes the barrier request. Nil means that the connection is closed instead, so that
@@ -36,6 +37,9 @@
 	Write func(w *bufio.Writer) error
 	// IsRefusal reports whether a response says that its call has not run.
 	IsRefusal func(*fasthttp.Response) bool
+	// IsAnswer reports whether a refusal that names neither the call nor the barrier is of the kind
+	// with which servers refuse barrier requests. Late copies of other refusals are not.
+	IsAnswer func(*fasthttp.Response) bool
 	// NamesRefusals reports whether the server is known to name the calls that it refuses.
 	NamesRefusals func() bool
 	// OwnAfterEnd reports whether a refusal is the call's own after which the connection has
@@ -104,7 +108,7 @@
 	case b.asked > 0 && !b.call.Barrier.IsRefusal(resp):
 		b.unsettled = true
 		return false
-	case !b.pending:
+	case !b.pending || !b.call.Barrier.IsAnswer(resp):
 		return false
 	}
 	b.pending = false
--- a/internal/adapter/httpcall/barrierreset_test.go
+++ b/internal/adapter/httpcall/barrierreset_test.go
@@ -58,7 +58,7 @@
 			}
 			return MatchUnknown
 		},
-		Barrier: &Barrier{Write: write, IsRefusal: func(resp *fasthttp.Response) bool { return resp.StatusCode() == 503 },
+		Barrier: &Barrier{Write: write, IsRefusal: func(resp *fasthttp.Response) bool { return resp.StatusCode() == 503 }, IsAnswer: func(resp *fasthttp.Response) bool { return resp.StatusCode() == 421 },
 			NamesRefusals: func() bool { return false }, OwnAfterEnd: func() bool { return false }},
 		Read: func(resp *fasthttp.Response) error {
 			body, err := ReadBody(resp, 100)
