Reject plans beyond the bounds at the host that got the request

Callers saw: nothing new. A request with too many pieces was rejected by the coordinator of its stages, one message later, and a contradicting API key came back in the text of the rejection. Cause: only the coordinator checked the bounds; the rejection quoted any field. Result: the package stagework passes and the tests of fields in platform.

--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -220,10 +220,10 @@
 // connection can be reused, which is false after any error.
 func roundTrip(c *conn, call Call) (bool, error) {
 	writeErr := writeRequest(c, call.Write)
+	// A server that stops reading a long body may have responded first.
 	if writeErr != nil && (c.bytesSent == 0 || !isReset(writeErr)) {
 		return false, writeErr
 	}
-	// A server that stops reading a long body may have responded first.
 	c.sentAt = time.Now()
 	reusable, err := readResponses(c, call)
 	return reusable && writeErr == nil, err
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -172,6 +172,9 @@
 // passed on to another one. It sets p.HandedOver if a coordinator hands the plan over.
 // The error is a *verdict.Error with NotRun: the pieces may be run again.
 func (d *Dispatcher) Execute(ctx context.Context, p *Plan) (Results, error) {
+	if err := p.validate(); err != nil {
+		return Results{}, err
+	}
 	var refusal error // the first refusal for lack of capacity
 	for round := range maxRounds {
 		elsewhere := false // whether a host has said that another one is the coordinator
