Simplify the connections of the command-line tool and the check of status lines

Cause: the tool kept two sets of connections for its whole run; the check of a status line had its own copy of the range of statuses; a connection whose barrier request found a reset went back to the pool, which only then noticed. Change: connections for each request; one range of statuses; a reset connection is closed at once. No change of what callers get.

--- a/internal/adapter/httpcall/head.go
+++ b/internal/adapter/httpcall/head.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"regexp"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -67,19 +69,17 @@
 	return nil
 }
 
+// statusLine is the form of a status line; its groups are the status and the reason.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: (.*))?$`)
+
 // validateStatusLine checks the first line of a header. The error wraps ErrMalformedHeader.
 func validateStatusLine(line []byte) error {
-	const version, status = "HTTP/1.", "200"
-	rest, ok := bytes.CutPrefix(line, []byte(version))
-	ok = ok && len(rest) >= len("1 ")+len(status) && isDigit(rest[0]) && rest[1] == ' '
-	if ok {
-		code, reason := rest[2:5], rest[5:]
-		ok = code[0] >= '1' && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2]) && (len(reason) == 0 || reason[0] == ' ') && port.IsFieldValue(reason)
-	}
-	if !ok {
-		return errors.Wrapf(ErrMalformedHeader, "status line %q", line)
+	parts := statusLine.FindSubmatch(line)
+	if parts != nil {
+		status, _ := strconv.Atoi(string(parts[1]))
+		if port.IsStatus(status) && port.IsFieldValue(parts[2]) {
+			return nil
+		}
 	}
-	return nil
+	return errors.Wrapf(ErrMalformedHeader, "status line %q", line)
 }
-
-func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/internal/adapter/httpcall/pool.go
+++ b/internal/adapter/httpcall/pool.go
@@ -226,7 +226,7 @@
 	}
 	c.sentAt = time.Now()
 	reusable, err := readResponses(c, call)
-	return reusable && writeErr == nil, err
+	return reusable && !c.reset, err
 }
 
 func writeRequest(c *conn, write func(w *bufio.Writer) error) error {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -107,9 +107,6 @@
 	}
 	inv := newInvocation(env, cmd, rest)
 	err := cmd.run(inv)
-	if inv.client != nil {
-		inv.client.close()
-	}
 	return inv.reportError(err)
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -28,38 +28,24 @@
 const maxResponseBytes = 64 << 20
 
 // client sends HTTP requests to a host.
-type client struct {
-	config Config
-	plain  *httpcall.Pool
-	secure *httpcall.Pool
-}
-
-func newClient(c Config) *client {
-	return &client{config: c, plain: httpcall.New(httpcall.Config{}), secure: httpcall.New(httpcall.Config{Dial: new(tls.Dialer).DialContext})}
-}
+type client struct{ config Config }
 
-// close closes the idle connections.
-func (c *client) close() {
-	c.plain.Close()
-	c.secure.Close()
-}
+func newClient(c Config) *client { return &client{c} }
 
-// poolFor returns the connections to the host that a URL names, and its address.
-func (c *client) poolFor(rawURL string) (pool *httpcall.Pool, address string, err error) {
+// newPool returns connections to the host that a URL names, and its address.
+func newPool(rawURL string) (pool *httpcall.Pool, address string, err error) {
 	u, err := url.Parse(rawURL)
 	if err != nil {
 		return nil, "", err
 	}
-	port := ""
 	switch u.Scheme {
 	case "http":
-		pool, port = c.plain, "80"
+		return httpcall.New(httpcall.Config{}), net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), "80")), nil
 	case "https":
-		pool, port = c.secure, "443"
+		return httpcall.New(httpcall.Config{Dial: new(tls.Dialer).DialContext}), net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), "443")), nil
 	default:
 		return nil, "", errors.Errorf("%q is no URL of HTTP or HTTPS", rawURL)
 	}
-	return pool, net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), port)), nil
 }
 
 // apiError is an error response of a host, or a request without a valid response. The
@@ -114,10 +100,11 @@
 // 200. It returns the error of read. Any other status and a failed connection give an
 // *apiError.
 func (c *client) send(r request, read func(body io.Reader) error) error {
-	pool, address, err := c.poolFor(r.url)
+	pool, address, err := newPool(r.url)
 	if err != nil {
 		return connectionError(err, verdict.NotRun)
 	}
+	defer pool.Close()
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(r.method)
--- a/internal/cli/client_test.go
+++ b/internal/cli/client_test.go
@@ -69,7 +69,6 @@
 					_ = c.SetLinger(0)
 				})
 				c := newClient(Config{})
-				defer c.close()
 				for range 10 {
 					read := ""
 					err := c.send(request{method: "POST", url: "http://" + address + "/v1/x", body: upload}, func(body io.Reader) error {
