Bound the registrations that are kept of one endpoint

Callers saw: nothing yet. A host's list of an endpoint's processes grows with each start, for five minutes, and each look takes longer. Cause: only their age was bounded. Evidence: TestEndpointThatStartsWithoutEndTakesLittleMemory fails without the bound. Change: the 64 newest are kept. Result: the package facts passes.

--- a/internal/facts/registrations.go
+++ b/internal/facts/registrations.go
@@ -13,6 +13,9 @@
 // requests may refer to it.
 const registrationRetention = origin.VersionRetention
 
+// maxRegistrations bounds the registrations kept of one endpoint: one may start again without end.
+const maxRegistrations = 64
+
 // registrations keeps the registrations of endpoints. An update of the store may bring several
 // entries of one endpoint, of which a snapshot of the state shows only the last.
 type registrations struct {
@@ -32,6 +35,7 @@
 		list[i] = registered
 	} else {
 		list = append(list, registered)
+		list = list[max(0, len(list)-maxRegistrations):]
 	}
 	r.set(e.ID, list)
 }
--- a/internal/facts/registrations_test.go
+++ b/internal/facts/registrations_test.go
@@ -9,6 +9,22 @@
 	"github.com/pimentorill/pimentorill/internal/core/catalog"
 )
 
+// TestEndpointThatStartsWithoutEndTakesLittleMemory guards against a list that grows with each start
+// of an endpoint, and with it the time that each look takes.
+func TestEndpointThatStartsWithoutEndTakesLittleMemory(t *testing.T) {
+	is := is.New(t)
+	var r registrations
+	now := time.UnixMilli(1)
+	for start := range int64(10 * maxRegistrations) {
+		r.put(&catalog.Endpoint{ID: "a", Service: "pool", StartedUnixMs: start}, now)
+	}
+	list := r.snapshot()["a"]
+	is.Equal(len(list), maxRegistrations)
+	newest := list[len(list)-1]
+	is.Equal(newest.StartedUnixMs, int64(10*maxRegistrations-1))
+	is.True(newest.EndedAt.IsZero())
+}
+
 // TestRegistrationsOfEndpointsWithoutNewWorkAreKnown guards against a process that leaves no
 // trace, as its endpoint was only seen draining or in an evacuated zone, or its entry had been
 // replaced or removed again when the store responded.
