Refuse requests whose results fit nowhere at once

Callers saw: a request whose results exceed the storage of all endpoints of a stage was refused after 2.1 s of its 3 s. Cause: the plan was admitted, and its pieces waited for room until the deadline. Change: a coordinator refuses such a plan, with a time to come back, as that of another group may have more room.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -30,6 +30,10 @@
 // registered endpoints of a stage. Another host may.
 var errReachesNoEndpoint = verdict.New(verdict.CodeNotReady, verdict.NotRun, "no endpoint for the stage can be reached").WithRetryAfter(minRetryAfter)
 
+// errResultsTooLarge is the refusal of a plan by a coordinator whose endpoints of a stage can't hold
+// all of its results at the same time. Those of another group may.
+var errResultsTooLarge = verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "results of the stage don't fit into the storage of its endpoints").WithRetryAfter(minRetryAfter)
+
 // admit commits endpoint capacity to a plan, sets its Zone and returns the
 // forecast of its duration, not corrected by the forecast ratio. It refuses a plan
 // that can't be done in time, with the delay after which its stages should have
@@ -164,6 +168,9 @@
 			}
 			return 0, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "no endpoint for the stage").WithRetryAfter(minRetryAfter)
 		}
+		if room := int64(q.UsableEndpointCount()) * q.Limits().ResultCapacityBytes; int64(s.Pieces)*s.ResultBytes > room {
+			return 0, errResultsTooLarge
+		}
 		if rest := sc.restOf(q); rest > 0 {
 			return 0, verdict.New(verdict.CodeNoCapacity, verdict.NotRun, "all endpoints of the stage rest").WithRetryAfter(max(rest, minRetryAfter))
 		}
