Add review case 12: a half body looks complete after its server went dark

Cause: an endpoint that doesn't answer probes counts as one that goes on, so the end of its connection counts as the end of the response.

--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -220,3 +220,62 @@
 	f.note("server %s ran %d requests while it was cold, at most %d in a second (from %.3f s after its start on); the limit is %.1f", s.id, len(cold), most, first.Sub(back).Seconds(), limit)
 	return float64(most) > limit
 }
+
+// playDarkCut ends the process of a server that is in the middle of its response, and with it its
+// machine falls silent.
+func playDarkCut(f *fleet) (bool, error) {
+	f.store.put("op/config", config(1, "register", "idempotent", false, 12000, 0, 0))
+	flags := []string{"-work", "30ms", "-pause", "1500ms", "-framing", "close"}
+	var servers []*serverProcess
+	var paths []*proxy
+	for i, zone := range zones {
+		s, err := f.startServer(fmt.Sprintf("register-%d", i+1), "register", zone, 6, 0, flags...)
+		if err != nil {
+			return false, err
+		}
+		p, err := s.behindProxy()
+		if err != nil {
+			return false, err
+		}
+		defer p.close()
+		servers, paths = append(servers, s), append(paths, p)
+	}
+	if err := f.startHosts(3); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	const clients = 9
+	answers := make([]answer, clients)
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Go(func() {
+			answers[i] = request(f.hosts[i%3].frontend, "GET", fmt.Sprintf("/notes/%d", i), "", 10*time.Second)
+		})
+	}
+	time.Sleep(700 * time.Millisecond)
+	if f.trouble {
+		paths[0].goDark()
+		servers[0].kill()
+		f.note("server %s has crashed and its machine is silent", servers[0].id)
+	}
+	wg.Wait()
+	at := make(map[string]string)
+	for _, s := range servers {
+		for _, r := range s.ran() {
+			at[r.attempt] += " " + s.name
+		}
+	}
+	broken := false
+	for _, a := range answers {
+		verdict := ""
+		if a.status == 200 && a.complete && a.body != plainBody(a.attempt) {
+			broken = true
+			verdict = " - isn't whole and looks complete"
+		}
+		f.note("request sent at %s: %s, ran at%s%s", f.clock(a.sentAt), a, at[a.attempt], verdict)
+	}
+	if len(servers[0].ran()) == 0 {
+		return false, fmt.Errorf("no request ran at server %s", servers[0].id)
+	}
+	return broken, nil
+}
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -43,7 +43,8 @@
 type serverProcess struct {
 	fleet               *fleet
 	name, service, zone string
-	address             string
+	// address is where the process listens, registered the address in its entry.
+	address, registered string
 	slots               int
 	flags               []string
 
@@ -260,6 +261,7 @@
 func (f *fleet) startServer(name, service, zone string, slots int, warmUp time.Duration, flags ...string) (*serverProcess, error) {
 	ip := fmt.Sprintf("127.0.44.%d", len(f.servers)+1)
 	s := &serverProcess{fleet: f, name: name, service: service, zone: zone, slots: slots, flags: flags, warmUp: warmUp, address: fmt.Sprintf("%s:%d", ip, freePort(ip))}
+	s.registered = s.address
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
 	f.mu.Unlock()
@@ -320,10 +322,24 @@
 	}
 	s.sequence++
 	left := max(0, s.warmUp-time.Since(s.started)).Milliseconds()
-	return s.fleet.store.put("servers/"+s.id, map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots,
+	return s.fleet.store.put("servers/"+s.id, map[string]any{"service": s.service, "address": s.registered, "zone": s.zone, "version": "v1", "slots": s.slots,
 		"state": s.state, "warmup_left_ms": left, "sequence": s.sequence, "born": s.born})
 }
 
+// behindProxy registers the server at an address of a path to it.
+func (s *serverProcess) behindProxy() (*proxy, error) {
+	ip, _, _ := net.SplitHostPort(s.address)
+	p, err := newProxy(fmt.Sprintf("%s:%d", ip, freePort(ip)), s.address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.registered = p.listener.Addr().String()
+	s.mu.Unlock()
+	s.report()
+	return p, nil
+}
+
 // beat has all servers report until the fleet is closed.
 func (f *fleet) beat() {
 	for {
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -24,6 +24,7 @@
 	"leaving-cut": playLeavingCut,
 	"frozen-cut":  playFrozenCut,
 	"cold-return": playColdReturn,
+	"dark-cut":    playDarkCut,
 }
 
 func main() {
