Add review case 14: streams of two versions after a restart during an outage of the store

Cause: the software version of an endpoint is that of its last known registration. An endpoint that starts again under its id as another version while the store is down is taken for the former one, and streams go on there.

--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -290,3 +291,75 @@
 	}
 	return broken, nil
 }
+
+// playTwoBuilds has the store down, and meanwhile a server that crashes and starts again under its id
+// as another version. Then another server crashes, and hosts go on with its streams elsewhere.
+func playTwoBuilds(f *fleet) (bool, error) {
+	const events, pause = 60, 150 * time.Millisecond // 9 s
+	f.store.put("op/config", config(1, "pool", "streaming", true, 20000, 0, 0))
+	flags := []string{"-events", fmt.Sprint(events), "-pause", pause.String(), "-framing", "chunked"}
+	var servers []*serverProcess
+	for i := range 4 {
+		s, err := f.startServer(fmt.Sprintf("pool-%d", i+1), "pool", zones[i%len(zones)], 64, 0, flags...)
+		if err != nil {
+			return false, err
+		}
+		servers = append(servers, s)
+	}
+	if err := f.startHosts(8); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	again, other := servers[3], servers[0] // of one zone
+	const clients = 32
+	answers := make([]answer, clients)
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Go(func() {
+			answers[i] = request(f.hosts[i%8].frontend, "POST", "/notes/1", "Answer the question.", 19*time.Second)
+		})
+	}
+	time.Sleep(time.Second)
+	if f.trouble {
+		f.store.setDown(true)
+		f.note("the store is down")
+		time.Sleep(100 * time.Millisecond)
+		again.kill()
+		f.note("server %s has crashed", again.id)
+		time.Sleep(2 * time.Second)
+		again.version = "v2"
+		if err := again.launch(again.id, 0); err != nil {
+			return false, err
+		}
+		time.Sleep(2500 * time.Millisecond)
+		other.kill()
+		f.note("server %s has crashed", other.id)
+		time.Sleep(3400 * time.Millisecond)
+		f.store.setDown(false)
+		f.note("the store is back")
+	}
+	wg.Wait()
+	at := make(map[string]string)
+	for _, s := range servers {
+		for _, r := range s.ran() {
+			at[r.attempt] += fmt.Sprintf(" %s at %s,", s.name, f.clock(r.at))
+		}
+	}
+	mixed, ran := 0, 0
+	for _, a := range answers {
+		verdict := ""
+		if strings.Contains(a.body, " by v1\n") && strings.Contains(a.body, " by v2\n") {
+			mixed++
+			verdict = " - events of two versions"
+		}
+		if a.status == 200 {
+			ran++
+		}
+		f.note("request sent at %s: %s, ran at%s%s", f.clock(a.sentAt), a, at[a.attempt], verdict)
+	}
+	f.note("%d of %d streams hold events of two versions; more than 2 break the rule", mixed, ran)
+	if ran < clients/2 {
+		return false, errors.New("too few streams began")
+	}
+	return mixed > 2, nil
+}
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -50,6 +50,7 @@
 
 	mu       sync.Mutex
 	id       string
+	version  string
 	born     int64
 	state    string
 	sequence int
@@ -260,7 +261,7 @@
 // startServer starts a server on a loopback address of its own and registers it.
 func (f *fleet) startServer(name, service, zone string, slots int, warmUp time.Duration, flags ...string) (*serverProcess, error) {
 	ip := fmt.Sprintf("127.0.44.%d", len(f.servers)+1)
-	s := &serverProcess{fleet: f, name: name, service: service, zone: zone, slots: slots, flags: flags, warmUp: warmUp, address: fmt.Sprintf("%s:%d", ip, freePort(ip))}
+	s := &serverProcess{fleet: f, name: name, service: service, zone: zone, slots: slots, flags: flags, warmUp: warmUp, version: "v1", address: fmt.Sprintf("%s:%d", ip, freePort(ip))}
 	s.registered = s.address
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
@@ -275,7 +276,7 @@
 		return err
 	}
 	born := time.Now().UnixMilli()
-	args := append([]string{"server", "-address", s.address, "-id", id, "-born", strconv.FormatInt(born, 10), "-slots", strconv.Itoa(s.slots), "-warmup", warmUp.String()}, s.flags...)
+	args := append([]string{"server", "-address", s.address, "-id", id, "-born", strconv.FormatInt(born, 10), "-slots", strconv.Itoa(s.slots), "-warmup", warmUp.String(), "-version", s.version}, s.flags...)
 	cmd := exec.Command(executable, args...)
 	stdin, err := cmd.StdinPipe()
 	if err != nil {
@@ -309,7 +310,7 @@
 		}
 	}()
 	s.report()
-	s.fleet.note("server %s (%s, %s) serves at %s, born %d, cold for %v", id, s.service, s.zone, s.address, born, warmUp)
+	s.fleet.note("server %s (%s %s, %s) serves at %s, born %d, cold for %v", id, s.service, s.version, s.zone, s.address, born, warmUp)
 	return nil
 }
 
@@ -322,7 +323,7 @@
 	}
 	s.sequence++
 	left := max(0, s.warmUp-time.Since(s.started)).Milliseconds()
-	return s.fleet.store.put("servers/"+s.id, map[string]any{"service": s.service, "address": s.registered, "zone": s.zone, "version": "v1", "slots": s.slots,
+	return s.fleet.store.put("servers/"+s.id, map[string]any{"service": s.service, "address": s.registered, "zone": s.zone, "version": s.version, "slots": s.slots,
 		"state": s.state, "warmup_left_ms": left, "sequence": s.sequence, "born": s.born})
 }
 
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -25,6 +25,7 @@
 	"frozen-cut":  playFrozenCut,
 	"cold-return": playColdReturn,
 	"dark-cut":    playDarkCut,
+	"two-builds":  playTwoBuilds,
 }
 
 func main() {
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -24,6 +24,7 @@
 	events  int
 	pause   time.Duration
 	framing string
+	version string
 	started time.Time
 	warmUp  time.Duration
 	// leaving is set by a line on standard input.
@@ -43,6 +44,7 @@
 	flags.IntVar(&s.events, "events", 0, "events of a stream; 0 for plain responses")
 	flags.DurationVar(&s.pause, "pause", 0, "time between two events, or between the halves of a plain body")
 	flags.StringVar(&s.framing, "framing", "length", "length, chunked or close")
+	flags.StringVar(&s.version, "version", "v1", "software version, which the events of streams name")
 	flags.DurationVar(&s.warmUp, "warmup", 0, "time for which the server is cold")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", *address)
@@ -149,7 +151,7 @@
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= s.events; i++ {
 		time.Sleep(s.pause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", i, i, req.Header.Get("X-Attempt-Id"))
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %s by %s\n\n", i, i, req.Header.Get("X-Attempt-Id"), s.version)
 		if s.framing == "chunked" {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
